--- /dev/null
+++ b/wasabimux/__init__.py
@@ -0,0 +1,1 @@
+"""A router for separate prefill and decode pools."""
--- /dev/null
+++ b/wasabimux/adapters/http_server.py
@@ -0,0 +1,403 @@
+"""An HTTP/1.1 server on h11 with bounded sizes, times and back-pressure."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import ssl
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from contextlib import aclosing
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+from urllib.parse import parse_qsl, urlsplit
+
+import h11
+
+from wasabimux.errors import ErrorCode, Refusal, RefusedError, refused
+from wasabimux.ports import Headers
+
+MAX_HEAD_BYTES = 32 * 1024
+READ_BYTES = 64 * 1024
+WRITE_BUFFER_BYTES = 64 * 1024
+
+#: Longest time a caller may refuse to take any byte of an answer.
+WRITE_TIMEOUT_S = 60.0
+
+logger = logging.getLogger("wasabimux.http")
+
+
+class HttpLimits(NamedTuple):
+    """Limits on what a caller may send.
+
+    Attributes:
+        max_body_bytes: Largest body.
+        header_timeout_s: Longest time from the first byte to the whole head,
+            and longest idle time of a kept-alive connection.
+        body_timeout_s: Longest silence within a body.
+    """
+
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 10.0
+    body_timeout_s: float = 10.0
+
+
+@dataclass(slots=True)
+class HttpRequest:
+    """A request as the handler sees it.
+
+    Attributes:
+        method: Method in upper case.
+        target: Target as received.
+        headers: Headers with names in lower case.
+        arrived_s: Loop time at which the head was complete.
+        body: Reads the whole body; raises RefusedError over a limit.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    arrived_s: float
+    body: Callable[[], Awaitable[bytes]]
+
+    @property
+    def path(self) -> str:
+        """Path of the target."""
+        return urlsplit(self.target).path
+
+    @property
+    def query(self) -> dict[str, str]:
+        """Parameters of the query; the last of equal names counts."""
+        return dict(parse_qsl(urlsplit(self.target).query, keep_blank_values=True))
+
+    def header(self, name: bytes) -> bytes | None:
+        """Returns the first header of a name in lower case, or None."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+@dataclass(slots=True)
+class HttpResponse:
+    """An answer, with a body that is either whole or a stream.
+
+    Attributes:
+        status: Status code.
+        headers: Headers besides the framing.
+        body: Whole body, or an iterator of pieces.
+        length: Length of a streamed body, None when it is not known.
+        on_done: Called once the answer has ended, with True when complete.
+    """
+
+    status: int
+    headers: Headers = field(default_factory=list)
+    body: bytes | AsyncGenerator[bytes, None] = b""
+    length: int | None = None
+    on_done: Callable[[bool], None] | None = None
+
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+def refusal_response(refusal: Refusal) -> HttpResponse:
+    """Turns a refusal into an answer."""
+    headers: Headers = [(b"content-type", b"application/json")]
+    retry_after = refusal.retry_after_header
+    if retry_after is not None:
+        headers.append((b"retry-after", retry_after.encode()))
+    return HttpResponse(refusal.status, headers, refusal.to_json())
+
+
+class HttpServer:
+    """Serves a handler; a context manager that closes its connections.
+
+    Args:
+        handler: Answers each request.
+        limits: Limits on callers.
+        tls: TLS context, or None for plain HTTP.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: HttpLimits = HttpLimits(),
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._handler = handler
+        self._limits = limits
+        self._tls = tls
+        self._server: asyncio.Server | None = None
+        self._connections: set[_Connection] = set()
+        self.draining = False
+
+    async def __aenter__(self) -> HttpServer:
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self.close()
+
+    async def listen(self, host: str, port: int) -> tuple[str, int]:
+        """Starts to listen; returns the address, with the port chosen."""
+        self._server = await asyncio.start_server(
+            self._accept, host, port, ssl=self._tls, limit=READ_BYTES
+        )
+        bound = self._server.sockets[0].getsockname()
+        return bound[0], bound[1]
+
+    async def drain(self, timeout_s: float) -> bool:
+        """Stops accepting and waits for the running requests.
+
+        Args:
+            timeout_s: Longest time to wait.
+
+        Returns:
+            True if every request has ended.
+        """
+        self.draining = True
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close_if_idle()
+        deadline = asyncio.get_running_loop().time() + timeout_s
+        while self._connections:
+            if asyncio.get_running_loop().time() > deadline:
+                return False
+            await asyncio.sleep(0.02)
+        return True
+
+    def close(self) -> None:
+        """Stops listening and cuts every connection."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.abort()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connection = _Connection(self, self._handler, self._limits, reader, writer)
+        self._connections.add(connection)
+        try:
+            await connection.serve()
+        except (OSError, TimeoutError, asyncio.CancelledError):
+            pass  # the caller has left, or the process is ending
+        finally:
+            self._connections.discard(connection)
+            writer.close()
+
+
+class _Connection:
+    """One connection of a caller."""
+
+    def __init__(
+        self,
+        server: HttpServer,
+        handler: Handler,
+        limits: HttpLimits,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._server = server
+        self._handler = handler
+        self._limits = limits
+        self._reader = reader
+        self._writer = writer
+        self._http = h11.Connection(h11.SERVER, MAX_HEAD_BYTES)
+        self._busy = False
+        self._body_bytes = 0
+        self._wants_continue = False
+        self._body_read = asyncio.Event()
+        writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+
+    async def serve(self) -> None:
+        """Serves requests until the connection ends."""
+        while True:
+            request = await self._read_head()
+            if request is None:
+                return
+            self._busy = True
+            await self._answer(request)
+            self._busy = False
+            if not self._prepare_next():
+                return
+
+    def close_if_idle(self) -> None:
+        """Closes the connection unless a request is running."""
+        if not self._busy:
+            self._writer.close()
+
+    def abort(self) -> None:
+        """Cuts the connection at once."""
+        self._writer.transport.abort()
+
+    def _prepare_next(self) -> bool:
+        if self._server.draining or self._http.our_state is not h11.DONE:
+            return False
+        if self._http.their_state is not h11.DONE:
+            return False
+        self._http.start_next_cycle()
+        return True
+
+    async def _read_head(self) -> HttpRequest | None:
+        """Reads the head of a request, or None if there is none."""
+        try:
+            async with asyncio.timeout(self._limits.header_timeout_s):
+                event = await self._next_event()
+        except TimeoutError:
+            if self._http.trailing_data[0]:
+                await self._refuse_head("the head took too long", 408)
+            return None
+        except h11.RemoteProtocolError as error:
+            await self._refuse_head(str(error), error.error_status_hint)
+            return None
+        if not isinstance(event, h11.Request):
+            return None
+        self._body_bytes = 0
+        self._wants_continue = self._http.they_are_waiting_for_100_continue
+        headers = [(bytes(name), bytes(value)) for name, value in event.headers]
+        problem = _framing_problem(headers, self._limits.max_body_bytes)
+        if problem is not None:
+            await self._write_response(refusal_response(problem), close=True)
+            return None
+        self._body_read.clear()
+        if not _announces_body(headers):
+            await self._read_body()
+        return HttpRequest(
+            event.method.decode("ascii"),
+            event.target.decode("latin-1"),
+            headers,
+            asyncio.get_running_loop().time(),
+            self._read_body,
+        )
+
+    async def _next_event(self) -> Any:
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._http.receive_data(await self._reader.read(READ_BYTES))
+
+    async def _read_body(self) -> bytes:
+        if self._body_read.is_set():
+            return b""  # there was none, or it has been read
+        if self._wants_continue:
+            self._wants_continue = False
+            continue_ = h11.InformationalResponse(status_code=100, headers=[])
+            self._write(self._http.send(continue_))
+        pieces: list[bytes] = []
+        while True:
+            try:
+                async with asyncio.timeout(self._limits.body_timeout_s):
+                    event = await self._next_event()
+            except TimeoutError:
+                raise refused(ErrorCode.BAD_REQUEST, "the body took too long")
+            except h11.RemoteProtocolError as error:
+                raise refused(ErrorCode.BAD_REQUEST, str(error))
+            if not isinstance(event, h11.Data):
+                self._body_read.set()
+                return b"".join(pieces)
+            self._body_bytes += len(event.data)
+            if self._body_bytes > self._limits.max_body_bytes:
+                raise refused(ErrorCode.TOO_LARGE, "the body is too large")
+            pieces.append(bytes(event.data))
+
+    async def _answer(self, request: HttpRequest) -> None:
+        """Runs the handler and sends its answer, unless the caller leaves."""
+        work = asyncio.ensure_future(self._handle_and_write(request))
+        watch = asyncio.ensure_future(self._watch_caller())
+        try:
+            await asyncio.wait({work, watch}, return_when=asyncio.FIRST_COMPLETED)
+            if not work.done():
+                work.cancel()
+            await asyncio.wait({work})
+            if not work.cancelled() and work.exception() is not None:
+                self.abort()
+                raise work.exception() or OSError()
+            if work.cancelled():
+                self.abort()
+        finally:
+            watch.cancel()
+            work.cancel()
+            await asyncio.wait({work, watch})
+
+    async def _watch_caller(self) -> None:
+        """Returns once the caller has closed its side of the connection."""
+        await self._body_read.wait()
+        while True:
+            data = await self._reader.read(READ_BYTES)
+            self._http.receive_data(data)
+            if not data:
+                return
+            if len(self._http.trailing_data[0]) > MAX_HEAD_BYTES:
+                await asyncio.Event().wait()  # leave further bytes in the socket
+
+    async def _handle_and_write(self, request: HttpRequest) -> None:
+        try:
+            response = await self._handler(request)
+        except RefusedError as error:
+            response = refusal_response(error.refusal)
+        except Exception:
+            logger.exception("event=handler_failed target_path=%s", request.path)
+            internal = Refusal(ErrorCode.INTERNAL, "internal error")
+            response = refusal_response(internal)
+        complete = False
+        try:
+            unread = self._http.their_state is h11.SEND_BODY
+            await self._write_response(response, close=unread)
+            complete = True
+        finally:
+            if response.on_done is not None:
+                response.on_done(complete)
+
+    async def _write_response(self, response: HttpResponse, close: bool) -> None:
+        headers = list(response.headers)
+        if isinstance(response.body, bytes):
+            headers.append((b"content-length", str(len(response.body)).encode()))
+        elif response.length is not None:
+            headers.append((b"content-length", str(response.length).encode()))
+        if close or self._server.draining:
+            headers.append((b"connection", b"close"))
+        head = h11.Response(status_code=response.status, headers=headers)
+        self._write(self._http.send(head))
+        if isinstance(response.body, bytes):
+            self._write(self._http.send(h11.Data(data=response.body)))
+        else:
+            async with aclosing(response.body) as pieces:
+                async for piece in pieces:
+                    self._write(self._http.send(h11.Data(data=piece)))
+                    await self._drain()
+        self._write(self._http.send(h11.EndOfMessage()))
+        await self._drain()
+
+    async def _refuse_head(self, message: str, status: int) -> None:
+        refusal = Refusal(ErrorCode.BAD_REQUEST, message)
+        response = refusal_response(refusal)
+        response.status = status
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            await self._write_response(response, close=True)
+
+    def _write(self, data: bytes | None) -> None:
+        if data:
+            self._writer.write(data)
+
+    async def _drain(self) -> None:
+        async with asyncio.timeout(WRITE_TIMEOUT_S):
+            await self._writer.drain()
+
+
+def _announces_body(headers: Headers) -> bool:
+    return any(
+        name == b"transfer-encoding" or (name == b"content-length" and value != b"0")
+        for name, value in headers
+    )
+
+
+def _framing_problem(headers: Headers, max_body_bytes: int) -> Refusal | None:
+    """Finds framing that proxies read differently, or a body over the limit."""
+    lengths = [value for name, value in headers if name == b"content-length"]
+    codings = [value for name, value in headers if name == b"transfer-encoding"]
+    if len(lengths) > 1 or (lengths and codings):
+        return Refusal(ErrorCode.BAD_REQUEST, "ambiguous length of the body")
+    if lengths and int(lengths[0]) > max_body_bytes:
+        return Refusal(ErrorCode.TOO_LARGE, "the body is too large")
+    return None
--- /dev/null
+++ b/wasabimux/adapters/metrics.py
@@ -0,0 +1,42 @@
+"""Metrics of a process, by Prometheus convention."""
+
+from __future__ import annotations
+
+from aioprometheus import REGISTRY, Counter, Gauge
+from aioprometheus.collectors import Registry
+
+from wasabimux.link.link import LinkTraffic
+
+
+class ProcessMetrics:
+    """Metrics that every role has.
+
+    Args:
+        registry: Where the metrics are listed.
+    """
+
+    def __init__(self, registry: Registry = REGISTRY) -> None:
+        self._request_bytes = Gauge(
+            "wasabimux_link_request_bytes",
+            "Bytes sent on links for requests since the start.",
+            registry=registry,
+        )
+        self._periodic_bytes = Gauge(
+            "wasabimux_link_periodic_bytes",
+            "Bytes sent on links for control since the start.",
+            registry=registry,
+        )
+        self._events = Counter(
+            "wasabimux_events_total",
+            "Events of the time line by name.",
+            registry=registry,
+        )
+
+    def on_event(self, name: str) -> None:
+        """Counts an event of the time line."""
+        self._events.inc({"event": name})
+
+    def update_traffic(self, traffic: LinkTraffic) -> None:
+        """Takes the byte counts of the links."""
+        self._request_bytes.set({}, traffic.request_bytes)
+        self._periodic_bytes.set({}, traffic.periodic_bytes)
--- /dev/null
+++ b/wasabimux/adapters/service_client.py
@@ -0,0 +1,36 @@
+"""The PlainUpstream port over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncGenerator
+from contextlib import asynccontextmanager
+
+from wasabimux.adapters.http_client import HttpClient
+from wasabimux.ports import PlainAnswer, PlainCall
+
+
+class ServiceClient:
+    """Calls the plain service beside an agent; a context manager.
+
+    Args:
+        host: Address of the service.
+        port: Port of the service.
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        self._http = HttpClient(host, port)
+
+    async def __aenter__(self) -> ServiceClient:
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self._http.close()
+
+    @asynccontextmanager
+    async def call(self, call: PlainCall) -> AsyncGenerator[PlainAnswer, None]:
+        """Sends a call. Entering raises UpstreamLost if there is no answer."""
+        response = await self._http.request(
+            call.method, call.target, call.headers, call.body, call.repeatable
+        )
+        async with response:
+            yield response
--- /dev/null
+++ b/wasabimux/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The role beside each upstream."""
--- /dev/null
+++ b/wasabimux/agent/completions.py
@@ -0,0 +1,190 @@
+"""Prefill and decode at the engine beside an agent."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import NamedTuple
+
+from wasabimux.agent.capacity import Capacity
+from wasabimux.agent.reaper import Reaper
+from wasabimux.errors import ErrorCode, Ran, RefusedError, refused
+from wasabimux.link.messages import (
+    STATUS_GRANTED,
+    STATUS_OK,
+    Data,
+    End,
+    Head,
+    KvSource,
+    Open,
+)
+from wasabimux.link.stream import LinkStream
+from wasabimux.ports import Engine, EngineRefused, UpstreamLost
+from wasabimux.timeline import Timeline
+
+#: Longest time for a KV transfer before it counts as stalled.
+TRANSFER_TIMEOUT_S = 2.0
+
+#: Longest silence of an engine within an answer.
+TOKEN_TIMEOUT_S = 5.0
+
+#: End of an answer that is kept to read its usage from.
+TAIL_BYTES = 1024
+
+CHAT_PATH = "/v1/chat/completions"
+
+
+class Usage(NamedTuple):
+    """Tokens that a request used."""
+
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+
+
+class CompletionWorker:
+    """Serves reservations and prefills.
+
+    Args:
+        engine: The engine beside the agent.
+        capacity: Slots of the engine.
+        reaper: Cancels runs that are gone.
+        timeline: Records events.
+    """
+
+    def __init__(
+        self, engine: Engine, capacity: Capacity, reaper: Reaper, timeline: Timeline
+    ) -> None:
+        self._engine = engine
+        self._capacity = capacity
+        self._reaper = reaper
+        self._timeline = timeline
+
+    async def prefill(self, stream: LinkStream, message: Open) -> None:
+        """Prefills a prompt, then keeps the result until the stream ends.
+
+        Raises:
+            RefusedError: The prompt was not prefilled.
+        """
+        budget_s = message.budget_ms / 1000
+        run = run_name(message)
+        with await self._capacity.acquire(budget_s, message.patient):
+            consumed = False
+            try:
+                source = await self._prefill(run, message, budget_s)
+                stream.send_kv_source(source)
+                stream.send_end(End())
+                consumed = await _ended_well(stream)
+            finally:
+                if not consumed:
+                    await asyncio.shield(self._reaper.cancel(run))
+
+    async def reserve(self, stream: LinkStream, message: Open) -> None:
+        """Grants a slot, imports the KV cache named on the stream, and decodes.
+
+        Raises:
+            RefusedError: The request was not decoded to its end.
+        """
+        budget_s = message.budget_ms / 1000
+        run = run_name(message)
+        with await self._capacity.acquire(budget_s, message.patient):
+            stream.send_head(Head(STATUS_GRANTED))
+            source = await stream.receive_kv_source()
+            finished = False
+            try:
+                await self._import(run, source)
+                stream.send_head(Head(STATUS_OK))
+                usage = await self._decode(run, stream, message)
+                finished = True
+            finally:
+                if not finished:
+                    await asyncio.shield(self._reaper.cancel(run))
+        self._capacity.on_success(_now())
+        stream.send_end(End(None, usage.prompt_tokens, usage.output_tokens))
+
+    async def _prefill(self, run: str, message: Open, budget_s: float) -> KvSource:
+        try:
+            async with asyncio.timeout(budget_s):
+                result = await self._engine.prefill(run, message.body, message.patient)
+        except TimeoutError:
+            raise refused(ErrorCode.DEADLINE, "prefill took too long", Ran.YES)
+        except EngineRefused as refusal:
+            raise self._refusal_from(refusal, Ran.NO)
+        except (UpstreamLost, OSError) as error:
+            self._capacity.on_cold(_now())
+            raise refused(ErrorCode.UPSTREAM_FAILED, str(error), Ran.YES)
+        self._capacity.on_success(_now())
+        return KvSource(
+            result.source, result.handle, result.prompt_tokens, result.cached_tokens
+        )
+
+    async def _import(self, run: str, source: KvSource) -> None:
+        try:
+            async with asyncio.timeout(TRANSFER_TIMEOUT_S):
+                await self._engine.import_kv(run, source.address, source.handle)
+        except TimeoutError:
+            raise refused(ErrorCode.RESULT_EXPIRED, "the transfer stalled", Ran.YES)
+        except EngineRefused as refusal:
+            raise self._refusal_from(refusal, Ran.YES)
+        except (UpstreamLost, OSError) as error:
+            self._capacity.on_cold(_now())
+            raise refused(ErrorCode.UPSTREAM_FAILED, str(error), Ran.YES)
+
+    async def _decode(self, run: str, stream: LinkStream, message: Open) -> Usage:
+        chat = message.target == CHAT_PATH
+        pieces = self._engine.decode(run, message.body, chat)
+        tail = b""
+        try:
+            while True:
+                async with asyncio.timeout(TOKEN_TIMEOUT_S):
+                    piece = await anext(pieces, None)
+                if piece is None:
+                    return read_usage(tail)
+                tail = (tail + piece)[-TAIL_BYTES:]
+                await stream.send_data(piece)
+        except TimeoutError:
+            raise refused(ErrorCode.UPSTREAM_FAILED, "the engine is silent", Ran.YES)
+        except EngineRefused as refusal:
+            raise self._refusal_from(refusal, Ran.YES)
+        except (UpstreamLost, OSError) as error:
+            self._capacity.on_cold(_now())
+            raise refused(ErrorCode.UPSTREAM_FAILED, str(error), Ran.YES)
+        finally:
+            await pieces.aclose()
+
+    def _refusal_from(self, refusal: EngineRefused, ran: Ran) -> RefusedError:
+        self._timeline.record("engine_refused", status=refusal.status)
+        if refusal.status == 410:
+            return refused(ErrorCode.RESULT_EXPIRED, refusal.message, ran)
+        if refusal.status == 400:
+            return refused(ErrorCode.BAD_REQUEST, refusal.message, ran)
+        return refused(ErrorCode.UPSTREAM_FAILED, refusal.message, ran)
+
+
+def run_name(message: Open) -> str:
+    """Names the run of one attempt, so that attempts never meet."""
+    return f"{message.request_id}.{message.attempt}"
+
+
+def read_usage(tail: bytes) -> Usage:
+    """Reads the usage from the end of an answer, streamed or whole."""
+    start = tail.rfind(b'"usage":')
+    if start < 0:
+        return Usage()
+    text = tail[start + len(b'"usage":') :].decode(errors="replace").lstrip()
+    try:
+        usage, _ = json.JSONDecoder().raw_decode(text)
+        return Usage(int(usage["prompt_tokens"]), int(usage["completion_tokens"]))
+    except (ValueError, KeyError, TypeError):
+        return Usage()
+
+
+async def _ended_well(stream: LinkStream) -> bool:
+    """Waits for the peer's end; False if it cancels or the link is lost."""
+    item = await stream.receive()
+    while isinstance(item, Data):
+        item = await stream.receive()
+    return isinstance(item, End) and item.refusal is None
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/wasabimux/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon's and the operators' command lines."""
--- /dev/null
+++ b/wasabimux/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output; the present time is always an argument."""
--- /dev/null
+++ b/wasabimux/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The role that meets callers."""
--- /dev/null
+++ b/wasabimux/entry/completions.py
@@ -0,0 +1,333 @@
+"""Completions: decode slot first, then prefill, transfer and decode."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import random
+from collections.abc import AsyncGenerator
+from contextlib import AsyncExitStack
+from typing import Any, NamedTuple
+
+from wasabimux.adapters.http_server import HttpResponse
+from wasabimux.decisions.placement import PlacementPolicy
+from wasabimux.entry.attempts import Attempts, no_upstream
+from wasabimux.entry.context import RequestContext
+from wasabimux.entry.pool import AgentPool, PooledAgent
+from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError, refused
+from wasabimux.link.messages import End, Open, Operation
+from wasabimux.link.stream import LinkLost, LinkStream, StreamCancelled
+from wasabimux.timeline import Timeline
+
+PROMPT_FIELDS = ("prompt", "messages")
+
+
+class CompletionRequest(NamedTuple):
+    """A parsed completion request.
+
+    Attributes:
+        path: Path that the caller used.
+        model: Model asked for.
+        fields: All fields.
+        prompt_bytes: Length of the prompt.
+        stream: True if the caller wants server-sent events.
+    """
+
+    path: str
+    model: str
+    fields: dict[str, Any]
+    prompt_bytes: int
+    stream: bool
+
+    @property
+    def max_tokens(self) -> int:
+        """Most output tokens."""
+        return int(self.fields["max_tokens"])
+
+    def bounded(self, max_output_tokens: int) -> CompletionRequest:
+        """Returns the request with its limit on output tokens within a bound."""
+        wanted = self.fields.get("max_tokens") or max_output_tokens
+        limit = min(wanted, max_output_tokens)
+        return self._replace(fields=self.fields | {"max_tokens": limit})
+
+    def worst_tokens(self, bytes_per_token: float) -> int:
+        """Returns the most tokens that the request can use."""
+        return math.ceil(self.prompt_bytes / bytes_per_token) + self.max_tokens
+
+    def prefill_body(self) -> bytes:
+        """Returns the body for the prefill engine."""
+        return json.dumps(self.fields).encode()
+
+    def decode_body(self) -> bytes:
+        """Returns the body for the decode engine, without the prompt."""
+        kept = {
+            name: value
+            for name, value in self.fields.items()
+            if name not in PROMPT_FIELDS
+        }
+        return json.dumps(kept).encode()
+
+
+def parse_completion(path: str, body: bytes) -> CompletionRequest:
+    """Parses the body of a completion request.
+
+    Raises:
+        RefusedError: The body is not a valid request.
+    """
+    try:
+        fields = json.loads(body)
+    except (ValueError, RecursionError):
+        raise refused(ErrorCode.BAD_REQUEST, "the body is not JSON") from None
+    if not isinstance(fields, dict):
+        raise refused(ErrorCode.BAD_REQUEST, "the body is not a JSON object")
+    model = _field(fields, "model", str, None)
+    stream = _field(fields, "stream", bool, False)
+    max_tokens = _field(fields, "max_tokens", int, 0)
+    if max_tokens < 0 or isinstance(fields.get("max_tokens"), bool):
+        raise refused(ErrorCode.BAD_REQUEST, "$.max_tokens: expected 1 or more")
+    prompt_bytes = _prompt_bytes(fields, path.startswith("/v1/chat/"))
+    return CompletionRequest(path, model, fields, prompt_bytes, stream)
+
+
+def _field(fields: dict[str, Any], name: str, kind: type, default: Any) -> Any:
+    value = fields.get(name, default)
+    if not isinstance(value, kind):
+        text = f"$.{name}: expected {kind.__name__}"
+        raise refused(ErrorCode.BAD_REQUEST, text)
+    return value
+
+
+def _prompt_bytes(fields: dict[str, Any], chat: bool) -> int:
+    if not chat:
+        return len(_field(fields, "prompt", str, None).encode())
+    total = 0
+    for index, message in enumerate(_field(fields, "messages", list, None)):
+        if not isinstance(message, dict):
+            text = f"$.messages[{index}]: expected an object"
+            raise refused(ErrorCode.BAD_REQUEST, text)
+        for name in ("role", "content"):
+            if not isinstance(message.get(name), str):
+                text = f"$.messages[{index}].{name}: expected str"
+                raise refused(ErrorCode.BAD_REQUEST, text)
+            total += len(message[name].encode()) + 2
+    return total
+
+
+class CompletionFlow:
+    """Takes completion requests through the pools.
+
+    Args:
+        pool: Links to agents.
+        attempts: Runs attempts.
+        prefill_policy: Chooses where to prefill.
+        decode_policy: Chooses where to decode.
+        rng: Source of random choices.
+        timeline: Records events.
+    """
+
+    def __init__(
+        self,
+        pool: AgentPool,
+        attempts: Attempts,
+        prefill_policy: PlacementPolicy,
+        decode_policy: PlacementPolicy,
+        rng: random.Random,
+        timeline: Timeline,
+    ) -> None:
+        self._pool = pool
+        self._attempts = attempts
+        self._prefill_policy = prefill_policy
+        self._decode_policy = decode_policy
+        self._rng = rng
+        self._timeline = timeline
+
+    async def serve(
+        self, context: RequestContext, request: CompletionRequest
+    ) -> HttpResponse:
+        """Serves a request.
+
+        Returns:
+            The answer, whose body streams from the decode engine.
+
+        Raises:
+            RefusedError: The request was refused or failed.
+        """
+        answer = await self._attempts.run(
+            context, lambda: self._attempt(context, request), repeatable=True
+        )
+        kind = b"text/event-stream" if request.stream else b"application/json"
+        headers = [
+            (b"content-type", kind),
+            (b"x-request-id", context.request_id.encode()),
+        ]
+        if request.stream:
+            headers.append((b"cache-control", b"no-store"))
+        body = self._body(context, request, answer)
+        return HttpResponse(200, headers, body)
+
+    async def _attempt(
+        self, context: RequestContext, request: CompletionRequest
+    ) -> _DecodeAnswer:
+        """Makes one attempt; returns once the first byte of the answer is here."""
+        async with AsyncExitStack() as stack:
+            decode_agent = self._choose_decode(context)
+            reserve = self._open_message(
+                context, Operation.RESERVE, request, request.decode_body()
+            )
+            decode = stack.enter_context(self._open(context, decode_agent, reserve))
+            await self._head(context, decode, decode_agent)
+            self._record(context, "slot_granted", decode_agent)
+            await self._prefill_and_transfer(context, request, decode, decode_agent)
+            pieces = decode.payloads()
+            first = await anext(pieces)
+            self._record(context, "first_token", decode_agent)
+            return _DecodeAnswer(first, pieces, stack.pop_all())
+
+    async def _prefill_and_transfer(
+        self,
+        context: RequestContext,
+        request: CompletionRequest,
+        decode: LinkStream,
+        decode_agent: PooledAgent,
+    ) -> None:
+        body = request.prefill_body()
+        agent = self._choose_prefill(context, request)
+        message = self._open_message(context, Operation.PREFILL, request, body)
+        with self._open(context, agent, message) as prefill:
+            try:
+                source = await prefill.receive_kv_source()
+            except (RefusedError, LinkLost, StreamCancelled):
+                context.tried.add(agent.id)
+                raise
+            self._record(context, "prefilled", agent, cached=source.cached_tokens)
+            decode.send_kv_source(source)
+            decode.send_end(End())
+            await self._head(context, decode, decode_agent)
+            prefill.send_end(End())
+
+    async def _head(
+        self, context: RequestContext, stream: LinkStream, agent: PooledAgent
+    ) -> None:
+        try:
+            await stream.receive_head()
+        except (RefusedError, LinkLost, StreamCancelled):
+            context.tried.add(agent.id)
+            raise
+
+    async def _body(
+        self,
+        context: RequestContext,
+        request: CompletionRequest,
+        answer: _DecodeAnswer,
+    ) -> AsyncGenerator[bytes, None]:
+        """Yields the answer; a failure becomes an error event and a cut."""
+        async with answer.stack:
+            try:
+                async with asyncio.timeout_at(context.deadline_s):
+                    piece: bytes | End = answer.first
+                    while isinstance(piece, bytes):
+                        yield piece
+                        piece = await anext(answer.pieces)
+                self._timeline.record(
+                    "answered",
+                    context.request_id,
+                    context.workspace,
+                    prompt_tokens=piece.prompt_tokens,
+                    output_tokens=piece.output_tokens,
+                )
+                return
+            except RefusedError as error:
+                failure = error.refusal
+            except (LinkLost, StreamCancelled):
+                text = "the upstream was lost within the answer"
+                failure = Refusal(ErrorCode.UPSTREAM_LOST, text)
+            except TimeoutError:
+                failure = Refusal(ErrorCode.DEADLINE, "the deadline has passed")
+            failure = failure.with_ran(Ran.YES)
+            self._timeline.record(
+                "answer_cut",
+                context.request_id,
+                context.workspace,
+                code=failure.code.value,
+            )
+            if request.stream:
+                yield b"event: error\ndata: " + failure.to_json() + b"\n\n"
+            raise RefusedError(failure)
+
+    def _choose_decode(self, context: RequestContext) -> PooledAgent:
+        group = context.route.decode_group or ""
+        return self._choose(context, group, self._decode_policy, b"")
+
+    def _choose_prefill(
+        self, context: RequestContext, request: CompletionRequest
+    ) -> PooledAgent:
+        group = context.route.prefill_group or ""
+        affinity = _prefix(request.fields)
+        return self._choose(context, group, self._prefill_policy, affinity)
+
+    def _choose(
+        self,
+        context: RequestContext,
+        group: str,
+        policy: PlacementPolicy,
+        affinity: bytes,
+    ) -> PooledAgent:
+        usable = self._pool.usable(group)
+        if not usable:
+            raise no_upstream(group)
+        untried = [agent for agent in usable if agent.id not in context.tried]
+        agents = {agent.id: agent for agent in untried or usable}
+        candidates = [agent.candidate() for agent in agents.values()]
+        return agents[policy.choose(candidates, affinity, self._rng).upstream]
+
+    def _open_message(
+        self,
+        context: RequestContext,
+        operation: Operation,
+        request: CompletionRequest,
+        body: bytes,
+    ) -> Open:
+        now = asyncio.get_running_loop().time()
+        return Open(
+            operation=operation,
+            request_id=context.request_id,
+            attempt=context.attempt,
+            workspace=context.workspace,
+            budget_ms=context.budget_ms(now),
+            age_ms=context.age_ms(now),
+            target=request.path,
+            body=body,
+            patient=context.settings.patient,
+        )
+
+    def _open(self, context: RequestContext, agent: PooledAgent, message: Open) -> Any:
+        self._record(context, f"sent_{message.operation.value}", agent)
+        return agent.open(message)
+
+    def _record(
+        self, context: RequestContext, name: str, agent: PooledAgent, **fields: object
+    ) -> None:
+        self._timeline.record(
+            name,
+            context.request_id,
+            context.workspace,
+            upstream=agent.id,
+            attempt=context.attempt,
+            **fields,
+        )
+
+
+class _DecodeAnswer(NamedTuple):
+    """An answer that has begun."""
+
+    first: bytes | End
+    pieces: Any
+    stack: AsyncExitStack
+
+
+def _prefix(fields: dict[str, Any]) -> bytes:
+    """Returns the start of the prompt, which requests with one prefix share."""
+    if "prompt" in fields:
+        return fields["prompt"][:1024].encode()
+    return "".join(item["content"] for item in fields["messages"])[:1024].encode()
--- /dev/null
+++ b/wasabimux/entry/credentials.py
@@ -0,0 +1,95 @@
+"""Callers' keys: finding them, and keeping them from upstreams."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from urllib.parse import parse_qsl, unquote, urlencode, urlsplit, urlunsplit
+
+from wasabimux.errors import ErrorCode, refused
+from wasabimux.ids import KeyDigest, WorkspaceId
+from wasabimux.ports import Headers
+from wasabimux.settings.index import FleetIndex, key_digest
+
+CREDENTIAL_HEADERS = frozenset({b"authorization", b"proxy-authorization"})
+BEARER = "bearer"
+
+
+class Caller(NamedTuple):
+    """Who sent a request.
+
+    Attributes:
+        workspace: Workspace of the key, None without a key.
+        digest: Digest of the key, None without a key.
+        key: The key itself; never leaves the entry.
+    """
+
+    workspace: WorkspaceId | None = None
+    digest: KeyDigest | None = None
+    key: str | None = None
+
+
+def identify(headers: Headers, index: FleetIndex) -> Caller:
+    """Finds the workspace of the key that came with a request.
+
+    Args:
+        headers: Headers of the request, with names in lower case.
+        index: Settings in force.
+
+    Returns:
+        The caller, without a workspace if no key came.
+
+    Raises:
+        RefusedError: The key is malformed, unknown or withdrawn.
+    """
+    values = [value for name, value in headers if name == b"authorization"]
+    if not values:
+        return Caller()
+    scheme, _, key = values[0].decode("latin-1").partition(" ")
+    key = key.strip()
+    if len(values) > 1 or scheme.lower() != BEARER or not key:
+        text = "send the key as 'Authorization: Bearer KEY'"
+        raise refused(ErrorCode.UNAUTHENTICATED, text)
+    digest = key_digest(key)
+    workspace = index.workspace_of(digest)
+    if workspace is None:
+        raise refused(ErrorCode.UNAUTHENTICATED, "the key is not valid")
+    return Caller(workspace, digest, key)
+
+
+def strip_headers(headers: Headers, index: FleetIndex) -> Headers:
+    """Drops the credential headers, and any header that holds a valid key."""
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in CREDENTIAL_HEADERS and not _holds_key(value, index)
+    ]
+
+
+def strip_query(target: str, index: FleetIndex) -> str:
+    """Drops the parameters of a target whose value is a valid key."""
+    parts = urlsplit(target)
+    if not parts.query:
+        return target
+    pairs = parse_qsl(parts.query, keep_blank_values=True)
+    kept = [pair for pair in pairs if index.workspace_of(key_digest(pair[1])) is None]
+    if len(kept) == len(pairs):
+        return target
+    return urlunsplit(parts._replace(query=urlencode(kept)))
+
+
+def refuse_key_in(target: str, body: bytes, caller: Caller) -> None:
+    """Refuses a request whose path or body holds the caller's own key.
+
+    Raises:
+        RefusedError: The key would reach the upstream.
+    """
+    if caller.key is None:
+        return
+    if caller.key.encode() in body or caller.key in unquote(target):
+        text = "the key must come in the Authorization header only"
+        raise refused(ErrorCode.BAD_REQUEST, text)
+
+
+def _holds_key(value: bytes, index: FleetIndex) -> bool:
+    words = value.decode("latin-1").replace(";", " ").replace("=", " ").split()
+    return any(index.workspace_of(key_digest(word)) is not None for word in words)
--- /dev/null
+++ b/wasabimux/entry/pool.py
@@ -0,0 +1,246 @@
+"""Links from an entry to the agents of its subset."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from wasabimux.decisions.placement import Candidate, rendezvous_top
+from wasabimux.ids import InstanceId, UpstreamId
+from wasabimux.link.link import Link, LinkEvents, LinkTraffic
+from wasabimux.link.messages import Hello, LoadReport, Open, SettingsUpdate
+from wasabimux.link.stream import LinkLost, LinkStream
+from wasabimux.ports import Channel
+from wasabimux.settings.address import parse_address
+from wasabimux.settings.fleet import Upstream
+from wasabimux.settings.index import FleetIndex
+from wasabimux.settings.views import AgentView, agent_view
+from wasabimux.timeline import Timeline
+
+FIRST_RECONNECT_S = 0.05
+MAX_RECONNECT_S = 1.0
+
+Connect = Callable[[str, int], Awaitable[Channel]]
+
+UNKNOWN_LOAD = LoadReport(limit=0, running=0, waiting=0, accepting=False)
+
+
+class PooledStream:
+    """A stream that counts as load of its agent while it is open.
+
+    Args:
+        agent: The agent.
+        stream: Stream on the agent's link.
+    """
+
+    def __init__(self, agent: PooledAgent, stream: LinkStream) -> None:
+        self.stream = stream
+        self._agent = agent
+
+    def __enter__(self) -> LinkStream:
+        self._agent.in_flight += 1
+        return self.stream
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._agent.in_flight -= 1
+        self.stream.close()
+
+
+class PooledAgent:
+    """Keeps a link to one agent; a context manager that ends it.
+
+    Args:
+        upstream: Settings of the upstream.
+        hello: What this entry says of itself.
+        connect: Connects to an address.
+        timeline: Records events.
+        traffic: Byte counts of the process.
+    """
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        hello: Hello,
+        connect: Connect,
+        timeline: Timeline,
+        traffic: LinkTraffic,
+    ) -> None:
+        self.upstream = upstream
+        self.in_flight = 0
+        self.leaving = False
+        self._hello = hello
+        self._connect = connect
+        self._timeline = timeline
+        self._traffic = traffic
+        self._settings: SettingsUpdate | None = None
+        self._link: Link | None = None
+        self._load = UNKNOWN_LOAD
+        self._in_flight_at_report = 0
+        self._task = asyncio.ensure_future(self._keep_linked())
+
+    @property
+    def id(self) -> UpstreamId:
+        """Id of the upstream."""
+        return UpstreamId(self.upstream.id)
+
+    @property
+    def incarnation(self) -> int | None:
+        """Life of the agent at the end of the link, None without a link."""
+        if self._link is None or self._link.peer is None:
+            return None
+        return self._link.peer.incarnation
+
+    @property
+    def accepting(self) -> bool:
+        """True if new work may be sent."""
+        return self._link is not None and self._load.accepting and not self.leaving
+
+    def candidate(self) -> Candidate:
+        """Returns the load, corrected by what happened since the report."""
+        since_report = self.in_flight - self._in_flight_at_report
+        load = self._load.running + self._load.waiting + since_report
+        return Candidate(self.id, self._load.limit, max(0, load))
+
+    def open(self, message: Open) -> PooledStream:
+        """Opens a stream.
+
+        Raises:
+            LinkLost: There is no link to the agent.
+        """
+        if self._link is None:
+            raise LinkLost()
+        return PooledStream(self, self._link.open(message))
+
+    def update(self, upstream: Upstream, settings: SettingsUpdate) -> None:
+        """Takes changed settings and sends them to the agent."""
+        self.upstream = upstream
+        self._settings = settings
+        if self._link is not None:
+            self._link.send(0, settings)
+
+    def close(self) -> None:
+        """Ends the link."""
+        self._task.cancel()
+        if self._link is not None:
+            self._link.close()
+
+    async def _keep_linked(self) -> None:
+        wait_s = FIRST_RECONNECT_S
+        while True:
+            host, port = parse_address(self.upstream.agent)
+            try:
+                channel = await self._connect(host, port)
+            except OSError:
+                await asyncio.sleep(wait_s)
+                wait_s = min(MAX_RECONNECT_S, wait_s * 2)
+                continue
+            await self._use(channel)
+            wait_s = FIRST_RECONNECT_S
+            await asyncio.sleep(wait_s)
+
+    async def _use(self, channel: Channel) -> None:
+        events = LinkEvents(on_load=self._on_load)
+        clock = self._timeline.clock
+        with Link(channel, self._hello, clock, events, True, self._traffic) as link:
+            link.start()
+            await link.ready.wait()
+            if self._settings is not None:
+                link.send(0, self._settings)
+            self._link = link
+            self._timeline.record("agent_linked", upstream=self.id)
+            try:
+                await link.lost.wait()
+            finally:
+                self._link = None
+                self._load = UNKNOWN_LOAD
+        self._timeline.record("agent_lost", upstream=self.id)
+
+    def _on_load(self, load: LoadReport) -> None:
+        self._load = load
+        self._in_flight_at_report = self.in_flight
+
+
+class AgentPool:
+    """The agents that an entry may use; a context manager.
+
+    Args:
+        instance: Name of this entry, which chooses its subset.
+        incarnation: Life of this entry.
+        connect: Connects to an address.
+        subset_size: Most agents of a group to link to.
+        timeline: Records events.
+        traffic: Byte counts of the process.
+    """
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        incarnation: int,
+        connect: Connect,
+        subset_size: int,
+        timeline: Timeline,
+        traffic: LinkTraffic,
+    ) -> None:
+        self._instance = instance
+        self._hello = Hello("entry", instance, incarnation)
+        self._connect = connect
+        self._subset_size = subset_size
+        self._timeline = timeline
+        self._traffic = traffic
+        self._agents_by_id: dict[UpstreamId, PooledAgent] = {}
+        self._ids_by_group: dict[str, list[UpstreamId]] = {}
+        self._views_by_id: dict[UpstreamId, AgentView] = {}
+
+    def __enter__(self) -> AgentPool:
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for agent in self._agents_by_id.values():
+            agent.close()
+
+    def apply(self, index: FleetIndex) -> None:
+        """Takes new settings: links to new agents, drops those that are gone."""
+        wanted: dict[UpstreamId, Upstream] = {}
+        self._ids_by_group = {}
+        for group, upstreams in index.upstreams_by_group.items():
+            by_id = {UpstreamId(item.id): item for item in upstreams}
+            chosen = rendezvous_top(self._instance.encode(), by_id, self._subset_size)
+            ids = [UpstreamId(item) for item in chosen]
+            self._ids_by_group[group] = ids
+            wanted.update({upstream_id: by_id[upstream_id] for upstream_id in ids})
+        for gone in set(self._agents_by_id) - set(wanted):
+            self._agents_by_id.pop(gone).close()
+        for upstream_id, upstream in wanted.items():
+            view = agent_view(index.fleet, upstream)
+            self._views_by_id[upstream_id] = view
+            update = SettingsUpdate(index.version, view.model_dump_json().encode())
+            self._agent(upstream).update(upstream, update)
+
+    def note_leaving(self, leaving: frozenset[InstanceId]) -> None:
+        """Takes the upstreams that the platform's list calls leaving."""
+        for agent in self._agents_by_id.values():
+            agent.leaving = InstanceId(agent.id) in leaving
+
+    def agents(self, group: str) -> list[PooledAgent]:
+        """Returns the agents of a group that this entry links to."""
+        return [self._agents_by_id[item] for item in self._ids_by_group.get(group, [])]
+
+    def usable(self, group: str) -> list[PooledAgent]:
+        """Returns the agents of a group that may get new work."""
+        return [
+            agent
+            for agent in self.agents(group)
+            if agent.accepting and self._views_by_id[agent.id].accepting
+        ]
+
+    def _agent(self, upstream: Upstream) -> PooledAgent:
+        upstream_id = UpstreamId(upstream.id)
+        agent = self._agents_by_id.get(upstream_id)
+        if agent is None or agent.upstream.agent != upstream.agent:
+            if agent is not None:
+                agent.close()
+            agent = PooledAgent(
+                upstream, self._hello, self._connect, self._timeline, self._traffic
+            )
+            self._agents_by_id[upstream_id] = agent
+        return agent
--- /dev/null
+++ b/wasabimux/link/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between entries and agents."""
--- /dev/null
+++ b/wasabimux/link/channels.py
@@ -0,0 +1,134 @@
+"""Channels that carry frames: TCP with or without TLS, and in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+import struct
+from collections.abc import Awaitable, Callable
+
+from wasabimux.ports import Channel
+
+LENGTH_BYTES = 4
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+CONNECT_TIMEOUT_S = 2.0
+LINGER_S = 1.0
+
+
+class TcpChannel:
+    """Frames over TCP, each behind its length as a 4-byte big-endian number.
+
+    Args:
+        reader: Reading side of the connection.
+        writer: Writing side of the connection.
+    """
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    async def send(self, frame: bytes) -> None:
+        """Sends a frame; waits while the connection's buffer is full."""
+        self._writer.write(struct.pack(">I", len(frame)) + frame)
+        await self._writer.drain()
+
+    async def receive(self) -> bytes | None:
+        """Returns the next frame, or None once the connection is lost."""
+        try:
+            prefix = await self._reader.readexactly(LENGTH_BYTES)
+            (length,) = struct.unpack(">I", prefix)
+            if length > MAX_FRAME_BYTES:
+                return None
+            return await self._reader.readexactly(length)
+        except (asyncio.IncompleteReadError, OSError):
+            return None
+
+    def close(self) -> None:
+        """Closes the connection; unsent data may linger for LINGER_S."""
+        transport = self._writer.transport
+        transport.close()
+        asyncio.get_running_loop().call_later(LINGER_S, transport.abort)
+
+
+async def connect_tcp(
+    host: str, port: int, tls: ssl.SSLContext | None = None
+) -> TcpChannel:
+    """Connects to a peer.
+
+    Raises:
+        OSError: If the peer cannot be reached in time.
+    """
+    connecting = asyncio.open_connection(host, port, ssl=tls)
+    try:
+        reader, writer = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
+    except TimeoutError as error:
+        raise OSError("no connection in time") from error
+    return TcpChannel(reader, writer)
+
+
+async def listen_tcp(
+    host: str,
+    port: int,
+    on_channel: Callable[[Channel], None],
+    tls: ssl.SSLContext | None = None,
+) -> asyncio.Server:
+    """Listens for peers and hands each connection to `on_channel`."""
+
+    async def accept(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        on_channel(TcpChannel(reader, writer))
+
+    return await asyncio.start_server(accept, host, port, ssl=tls)
+
+
+class MemoryChannel:
+    """One end of a connection in memory, for tests on a virtual clock.
+
+    Args:
+        deliver: Called with each frame sent; may lose or delay it.
+    """
+
+    def __init__(
+        self, deliver: Callable[[MemoryChannel, bytes], Awaitable[None]]
+    ) -> None:
+        self.peer: MemoryChannel | None = None
+        self.incoming: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self.closed = False
+        self._deliver = deliver
+
+    async def send(self, frame: bytes) -> None:
+        """Sends a frame to the other end."""
+        if self.closed:
+            raise ConnectionResetError("closed")
+        await self._deliver(self, frame)
+
+    async def receive(self) -> bytes | None:
+        """Returns the next frame, or None once the connection is closed."""
+        if self.closed:
+            return None
+        return await self.incoming.get()
+
+    def close(self) -> None:
+        """Closes both ends."""
+        for end in (self, self.peer):
+            if end is not None and not end.closed:
+                end.closed = True
+                end.incoming.put_nowait(None)
+
+
+async def deliver_at_once(sender: MemoryChannel, frame: bytes) -> None:
+    """Delivers a frame without loss or delay."""
+    if sender.peer is not None:
+        sender.peer.incoming.put_nowait(frame)
+
+
+def memory_pair(
+    deliver: Callable[[MemoryChannel, bytes], Awaitable[None]] = deliver_at_once,
+) -> tuple[MemoryChannel, MemoryChannel]:
+    """Makes the two ends of a connection in memory."""
+    left, right = MemoryChannel(deliver), MemoryChannel(deliver)
+    left.peer, right.peer = right, left
+    return left, right
--- /dev/null
+++ b/wasabimux/link/codec.py
@@ -0,0 +1,254 @@
+"""Translates between messages and Cap'n Proto frames."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any, Callable, NamedTuple
+
+import capnp
+
+from wasabimux.link.messages import (
+    Cancel,
+    Credit,
+    Data,
+    End,
+    Head,
+    Hello,
+    Item,
+    KvSource,
+    LoadReport,
+    Message,
+    Open,
+    Operation,
+    Ping,
+    SettingsUpdate,
+    refusal_from_wire,
+)
+from wasabimux.ports import Headers
+
+capnp.remove_import_hook()
+_schema = capnp.load(str(Path(__file__).with_name("wire.capnp")))
+
+MS_MAX = 2**32 - 1
+
+
+class CodecError(Exception):
+    """A frame that is not a valid message."""
+
+
+class Frame(NamedTuple):
+    """The items of one frame and the sender's clock."""
+
+    clock: int
+    items: list[Item]
+
+
+def encode_frame(clock: int, items: Sequence[Item]) -> bytes:
+    """Encodes items as the body of one frame."""
+    frame = _schema.Frame.new_message()
+    frame.clock = clock
+    builders = frame.init("items", len(items))
+    for builder, item in zip(builders, items):
+        builder.stream = item.stream
+        _ENCODERS[type(item.message)](builder, item.message)
+    return frame.to_bytes()
+
+
+def decode_frame(body: bytes) -> Frame:
+    """Decodes the body of a frame.
+
+    Raises:
+        CodecError: If the body is not a frame of this protocol.
+    """
+    try:
+        with _schema.Frame.from_bytes(body) as frame:
+            items = [Item(item.stream, _decode_item(item)) for item in frame.items]
+            return Frame(frame.clock, items)
+    except (capnp.KjException, KeyError, ValueError) as error:
+        raise CodecError(str(error)) from error
+
+
+def _encode_hello(builder: Any, message: Hello) -> None:
+    hello = builder.init("hello")
+    hello.protocol = message.protocol
+    hello.role = message.role
+    hello.name = message.name
+    hello.incarnation = message.incarnation
+
+
+def _encode_open(builder: Any, message: Open) -> None:
+    open_ = builder.init("open")
+    open_.operation = message.operation.value
+    open_.requestId = message.request_id
+    open_.attempt = message.attempt
+    open_.workspace = message.workspace
+    open_.budgetMs = min(max(message.budget_ms, 0), MS_MAX)
+    open_.ageMs = min(max(message.age_ms, 0), MS_MAX)
+    open_.incarnation = message.incarnation
+    open_.method = message.method
+    open_.target = message.target
+    _encode_headers(open_, message.headers)
+    open_.body = message.body
+    open_.patient = message.patient
+    open_.repeatable = message.repeatable
+
+
+def _encode_head(builder: Any, message: Head) -> None:
+    head = builder.init("head")
+    head.status = message.status
+    _encode_headers(head, message.headers)
+    head.body = message.body
+
+
+def _encode_headers(builder: Any, headers: Headers) -> None:
+    if not headers:
+        return
+    for target, (name, value) in zip(builder.init("headers", len(headers)), headers):
+        target.name = name
+        target.value = value
+
+
+def _encode_data(builder: Any, message: Data) -> None:
+    data = builder.init("data")
+    data.sequence = message.sequence
+    data.payload = message.payload
+
+
+def _encode_end(builder: Any, message: End) -> None:
+    end = builder.init("end")
+    end.promptTokens = message.prompt_tokens
+    end.outputTokens = message.output_tokens
+    end.ok = message.refusal is None
+    if message.refusal is not None:
+        end.code = message.refusal.code.value
+        end.message = message.refusal.message
+        end.ran = message.refusal.ran.value
+        end.retryAfterMs = round((message.refusal.retry_after_s or 0) * 1000)
+
+
+def _encode_credit(builder: Any, message: Credit) -> None:
+    builder.credit = message.size
+
+
+def _encode_cancel(builder: Any, message: Cancel) -> None:
+    builder.cancel = None
+
+
+def _encode_ping(builder: Any, message: Ping) -> None:
+    builder.ping = None
+
+
+def _encode_settings(builder: Any, message: SettingsUpdate) -> None:
+    settings = builder.init("settings")
+    settings.version = message.version
+    settings.value = message.value
+
+
+def _encode_load(builder: Any, message: LoadReport) -> None:
+    load = builder.init("load")
+    load.limit = message.limit
+    load.running = message.running
+    load.waiting = message.waiting
+    load.accepting = message.accepting
+
+
+def _encode_kv_source(builder: Any, message: KvSource) -> None:
+    source = builder.init("kvSource")
+    source.address = message.address
+    source.handle = message.handle
+    source.promptTokens = message.prompt_tokens
+    source.cachedTokens = message.cached_tokens
+
+
+_ENCODERS: dict[type, Callable[[Any, Any], None]] = {
+    Hello: _encode_hello,
+    Open: _encode_open,
+    Head: _encode_head,
+    Data: _encode_data,
+    End: _encode_end,
+    Credit: _encode_credit,
+    Cancel: _encode_cancel,
+    Ping: _encode_ping,
+    SettingsUpdate: _encode_settings,
+    LoadReport: _encode_load,
+    KvSource: _encode_kv_source,
+}
+
+
+def _decode_item(item: Any) -> Message:
+    which = str(item.which())
+    if which == "data":  # first, as nearly all items are data
+        return Data(item.data.sequence, item.data.payload)
+    return _DECODERS[which](item)
+
+
+def _decode_headers(headers: Any) -> Headers:
+    return [(header.name, header.value) for header in headers]
+
+
+def _decode_hello(item: Any) -> Hello:
+    hello = item.hello
+    return Hello(hello.role, hello.name, hello.incarnation, hello.protocol)
+
+
+def _decode_open(item: Any) -> Open:
+    open_ = item.open
+    return Open(
+        operation=Operation(str(open_.operation)),
+        request_id=open_.requestId,
+        attempt=open_.attempt,
+        workspace=open_.workspace,
+        budget_ms=open_.budgetMs,
+        age_ms=open_.ageMs,
+        incarnation=open_.incarnation,
+        method=open_.method,
+        target=open_.target,
+        headers=_decode_headers(open_.headers),
+        body=open_.body,
+        patient=open_.patient,
+        repeatable=open_.repeatable,
+    )
+
+
+def _decode_head(item: Any) -> Head:
+    head = item.head
+    return Head(head.status, _decode_headers(head.headers), head.body)
+
+
+def _decode_end(item: Any) -> End:
+    end = item.end
+    refusal = None
+    if not end.ok:
+        refusal = refusal_from_wire(end.code, end.message, end.ran, end.retryAfterMs)
+    return End(refusal, end.promptTokens, end.outputTokens)
+
+
+def _decode_settings(item: Any) -> SettingsUpdate:
+    return SettingsUpdate(item.settings.version, item.settings.value)
+
+
+def _decode_load(item: Any) -> LoadReport:
+    load = item.load
+    return LoadReport(load.limit, load.running, load.waiting, load.accepting)
+
+
+def _decode_kv_source(item: Any) -> KvSource:
+    source = item.kvSource
+    return KvSource(
+        source.address, source.handle, source.promptTokens, source.cachedTokens
+    )
+
+
+_DECODERS: dict[str, Callable[[Any], Message]] = {
+    "hello": _decode_hello,
+    "open": _decode_open,
+    "head": _decode_head,
+    "end": _decode_end,
+    "credit": lambda item: Credit(item.credit),
+    "cancel": lambda item: Cancel(),
+    "ping": lambda item: Ping(),
+    "settings": _decode_settings,
+    "load": _decode_load,
+    "kvSource": _decode_kv_source,
+}
--- /dev/null
+++ b/wasabimux/link/link.py
@@ -0,0 +1,251 @@
+"""A link: many streams over one channel, with heartbeats."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import NamedTuple
+
+from wasabimux.link.codec import CodecError, decode_frame, encode_frame
+from wasabimux.link.messages import (
+    PROTOCOL_VERSION,
+    Cancel,
+    Hello,
+    Item,
+    LoadReport,
+    Message,
+    Open,
+    Ping,
+    SettingsUpdate,
+)
+from wasabimux.link.stream import LinkStream
+from wasabimux.ports import Channel
+from wasabimux.timeline import HybridClock
+
+HEARTBEAT_S = 1.0
+
+#: Silence after which a peer counts as lost. Slots of its streams are freed.
+SILENCE_LIMIT_S = 3.0
+
+#: Most items in one frame, so that a frame stays below MAX_FRAME_BYTES.
+MAX_ITEMS_PER_FRAME = 64
+
+logger = logging.getLogger("wasabimux.link")
+
+
+class LinkEvents(NamedTuple):
+    """What a link tells its owner.
+
+    Attributes:
+        on_open: The peer opened a stream.
+        on_settings: The peer told its version of the settings.
+        on_load: The peer reported load.
+    """
+
+    on_open: Callable[[LinkStream, Open], None] | None = None
+    on_settings: Callable[[SettingsUpdate], None] | None = None
+    on_load: Callable[[LoadReport], None] | None = None
+
+
+class LinkTraffic:
+    """Counts bytes of a process's links, periodic ones apart."""
+
+    def __init__(self) -> None:
+        self.request_bytes = 0
+        self.periodic_bytes = 0
+
+
+class Link:
+    """Multiplexes streams; a context manager that closes the channel.
+
+    Args:
+        channel: Carries the frames.
+        hello: What this side says of itself.
+        clock: Hybrid clock of the process.
+        events: What the owner is told.
+        initiator: True on the side that connected.
+        traffic: Byte counts of the process.
+    """
+
+    def __init__(
+        self,
+        channel: Channel,
+        hello: Hello,
+        clock: HybridClock,
+        events: LinkEvents,
+        initiator: bool,
+        traffic: LinkTraffic | None = None,
+    ) -> None:
+        self.peer: Hello | None = None
+        self.lost = asyncio.Event()
+        self.ready = asyncio.Event()
+        self._channel = channel
+        self._clock = clock
+        self._events = events
+        self._initiator = initiator
+        self._next_stream = 1 if initiator else 2
+        self._streams_by_id: dict[int, LinkStream] = {}
+        self._outgoing: list[Item] = [Item(0, hello)]
+        self._wake = asyncio.Event()
+        self._wake.set()
+        self._last_heard_s = 0.0
+        self._last_sent_s = 0.0
+        self._traffic = traffic or LinkTraffic()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def __enter__(self) -> Link:
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.close()
+
+    @property
+    def stream_count(self) -> int:
+        """Number of open streams."""
+        return len(self._streams_by_id)
+
+    def start(self) -> None:
+        """Starts to send, receive and send heartbeats."""
+        loop = asyncio.get_running_loop()
+        self._last_heard_s = loop.time()
+        self._tasks = [
+            loop.create_task(self._send_frames()),
+            loop.create_task(self._receive_frames()),
+            loop.create_task(self._watch_silence()),
+        ]
+
+    def open(self, message: Open) -> LinkStream:
+        """Opens a stream to the peer."""
+        stream = LinkStream(self, self._next_stream, initiated=True)
+        self._next_stream += 2
+        if self.lost.is_set():
+            stream.on_link_lost()
+            return stream
+        self._streams_by_id[stream.id] = stream
+        self.send(stream.id, message)
+        return stream
+
+    def send(self, stream_id: int, message: Message) -> None:
+        """Queues a message; messages of one loop turn share a frame."""
+        if self.lost.is_set():
+            return
+        self._outgoing.append(Item(stream_id, message))
+        self._wake.set()
+
+    def forget(self, stream_id: int) -> None:
+        """Drops a stream that its owner has closed."""
+        self._streams_by_id.pop(stream_id, None)
+
+    def close(self) -> None:
+        """Closes the channel and fails all open streams."""
+        if self.lost.is_set():
+            return
+        self.lost.set()
+        self.ready.set()
+        self._channel.close()
+        current = _current_task()
+        for task in self._tasks:
+            if task is not current:
+                task.cancel()
+        for stream in list(self._streams_by_id.values()):
+            stream.on_link_lost()
+        self._streams_by_id.clear()
+
+    async def flush(self) -> None:
+        """Waits until everything queued has gone to the channel."""
+        while self._outgoing and not self.lost.is_set():
+            await asyncio.sleep(0)
+
+    async def _send_frames(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await self._wake.wait()
+            items = self._outgoing[:MAX_ITEMS_PER_FRAME]
+            frame = encode_frame(self._clock.tick(), items)
+            self._count_bytes(items, len(frame))
+            try:
+                await self._channel.send(frame)
+            except OSError:
+                self.close()
+                return
+            del self._outgoing[: len(items)]
+            if not self._outgoing:
+                self._wake.clear()
+            self._last_sent_s = loop.time()
+
+    async def _receive_frames(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            body = await self._channel.receive()
+            if body is None:
+                break
+            self._last_heard_s = loop.time()
+            try:
+                frame = decode_frame(body)
+            except CodecError as error:
+                logger.warning('event=bad_frame error="%s"', error)
+                break
+            self._clock.merge(frame.clock)
+            if not all(self._dispatch(item) for item in frame.items):
+                logger.warning("event=protocol_violation peer=%s", self.peer)
+                break
+        self.close()
+
+    def _dispatch(self, item: Item) -> bool:
+        """Handles one item; returns False if it breaks the protocol."""
+        if item.stream:
+            return self._dispatch_to_stream(item)
+        message = item.message
+        if isinstance(message, Hello):
+            if message.protocol != PROTOCOL_VERSION:
+                return False
+            self.peer = message
+            self.ready.set()
+        elif isinstance(message, SettingsUpdate) and self._events.on_settings:
+            self._events.on_settings(message)
+        elif isinstance(message, LoadReport) and self._events.on_load:
+            self._events.on_load(message)
+        return True
+
+    def _dispatch_to_stream(self, item: Item) -> bool:
+        stream = self._streams_by_id.get(item.stream)
+        if isinstance(item.message, Open):
+            if stream is not None or self._events.on_open is None or not self.peer:
+                return False
+            if item.stream % 2 == self._next_stream % 2:
+                return False  # the number belongs to this side
+            stream = LinkStream(self, item.stream, initiated=False)
+            self._streams_by_id[item.stream] = stream
+            self._events.on_open(stream, item.message)
+            return True
+        if stream is None:
+            return True  # late item of a stream that this side has closed
+        if isinstance(item.message, Cancel):
+            self.forget(item.stream)
+        return stream.on_message(item.message)
+
+    async def _watch_silence(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(HEARTBEAT_S / 2)
+            now = loop.time()
+            if now - self._last_heard_s > SILENCE_LIMIT_S:
+                logger.info("event=link_silent peer=%s", self.peer)
+                self.close()
+                return
+            if now - self._last_sent_s >= HEARTBEAT_S:
+                self.send(0, Ping())
+
+    def _count_bytes(self, items: list[Item], size: int) -> None:
+        if any(item.stream for item in items):
+            self._traffic.request_bytes += size
+        else:
+            self._traffic.periodic_bytes += size
+
+
+def _current_task() -> asyncio.Task[None] | None:
+    try:
+        return asyncio.current_task()
+    except RuntimeError:
+        return None
--- /dev/null
+++ b/wasabimux/link/messages.py
@@ -0,0 +1,186 @@
+"""Typed messages of the link, as the schema in wire.capnp defines them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple, Union
+
+from wasabimux.errors import ErrorCode, Ran, Refusal
+from wasabimux.ports import Headers
+
+PROTOCOL_VERSION = 1
+
+STATUS_GRANTED = 100
+STATUS_OK = 200
+
+
+class Operation(Enum):
+    """What a stream asks its receiver to do."""
+
+    RESERVE = "reserve"
+    PREFILL = "prefill"
+    CALL = "call"
+    GRANT = "grant"
+    FETCH = "fetch"
+
+
+class Hello(NamedTuple):
+    """First item of each side: who it is, and in which life."""
+
+    role: str
+    name: str
+    incarnation: int
+    protocol: int = PROTOCOL_VERSION
+
+
+@dataclass(frozen=True, slots=True)
+class Open:
+    """Opens a stream.
+
+    Attributes:
+        operation: What is asked.
+        request_id: Request that the stream belongs to.
+        attempt: Number of the attempt, from 0.
+        workspace: Workspace that the request runs for.
+        budget_ms: Time left until the deadline.
+        age_ms: Time since the request was accepted.
+        incarnation: Life of the receiver that must answer, 0 for any.
+        method: HTTP method of a call.
+        target: HTTP target of a call, or path of a completion.
+        headers: HTTP headers of a call.
+        body: Body of the request.
+        patient: True for work that may wait.
+        repeatable: True if the call may run more than once.
+    """
+
+    operation: Operation
+    request_id: str
+    attempt: int = 0
+    workspace: str = ""
+    budget_ms: int = 0
+    age_ms: int = 0
+    incarnation: int = 0
+    method: str = ""
+    target: str = ""
+    headers: Headers = field(default_factory=list)
+    body: bytes = b""
+    patient: bool = False
+    repeatable: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """First answer on a stream.
+
+    A reservation is answered twice: with STATUS_GRANTED once it holds a slot,
+    and with STATUS_OK once the KV cache is imported and the answer starts.
+    """
+
+    status: int
+    headers: Headers = field(default_factory=list)
+    body: bytes = b""
+
+
+class Data(NamedTuple):
+    """A piece of a stream's body; `sequence` counts from 0 in each direction."""
+
+    sequence: int
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """Last item of a stream in one direction.
+
+    Attributes:
+        refusal: Why the stream failed, None after success.
+        prompt_tokens: Tokens of the prompt, where known.
+        output_tokens: Tokens of the answer, where known.
+    """
+
+    refusal: Refusal | None = None
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+
+
+class Credit(NamedTuple):
+    """Lets the peer send as many more bytes on the stream."""
+
+    size: int
+
+
+class KvSource(NamedTuple):
+    """Where the KV cache of a prompt lies; the answer to a prefill.
+
+    Attributes:
+        address: Engine that holds it, as `IP:PORT`.
+        handle: Name of the result there.
+        prompt_tokens: Tokens of the prompt.
+        cached_tokens: Tokens that came from the prefix cache.
+    """
+
+    address: str
+    handle: str
+    prompt_tokens: int
+    cached_tokens: int
+
+
+class Cancel(NamedTuple):
+    """Ends a stream at once; its receiver frees what the stream holds."""
+
+
+class Ping(NamedTuple):
+    """Keeps an idle link alive."""
+
+
+class SettingsUpdate(NamedTuple):
+    """The sender's version of the settings and the part for the receiver."""
+
+    version: int
+    value: bytes
+
+
+class LoadReport(NamedTuple):
+    """Load of the agent's upstream at the time of sending."""
+
+    limit: int
+    running: int
+    waiting: int
+    accepting: bool
+
+
+Message = Union[
+    Hello,
+    Open,
+    Head,
+    Data,
+    End,
+    KvSource,
+    Credit,
+    Cancel,
+    Ping,
+    SettingsUpdate,
+    LoadReport,
+]
+
+
+class Item(NamedTuple):
+    """A message with the stream that it belongs to, 0 for the link itself."""
+
+    stream: int
+    message: Message
+
+
+def refusal_from_wire(code: str, message: str, ran: str, retry_ms: int) -> Refusal:
+    """Rebuilds a refusal; unknown words of a newer peer become cautious ones."""
+    try:
+        parsed_code = ErrorCode(code)
+    except ValueError:
+        parsed_code = ErrorCode.INTERNAL
+    try:
+        parsed_ran = Ran(ran)
+    except ValueError:
+        parsed_ran = Ran.UNKNOWN
+    retry_after_s = retry_ms / 1000 if retry_ms else None
+    return Refusal(parsed_code, message, parsed_ran, retry_after_s)
--- /dev/null
+++ b/wasabimux/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The tree of settings: documents, checks, inheritance and naming schemes."""
--- /dev/null
+++ b/wasabimux/settings/check.py
@@ -0,0 +1,216 @@
+"""Checks of a fleet's settings that need more than one place."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable, Iterator, Sequence
+from typing import Any, Protocol
+
+from expression import Error, Result
+
+from wasabimux.settings.findings import Finding, check_document
+from wasabimux.settings.fleet import (
+    FleetSettings,
+    GroupRole,
+    Names,
+    NamingScheme,
+    Route,
+    RouteKind,
+)
+from wasabimux.settings.tree import branches_along, check_tree
+
+
+class Named(Protocol):
+    """An object with an identity and a name in each scheme."""
+
+    @property
+    def id(self) -> str: ...
+
+    @property
+    def names(self) -> Names: ...
+
+
+def check_fleet(document: Any) -> Result[FleetSettings, list[Finding]]:
+    """Checks a fleet's settings document as a whole.
+
+    Args:
+        document: The decoded JSON document.
+
+    Returns:
+        The settings, or all findings with their places.
+    """
+    checked = check_document(FleetSettings, document)
+    if checked.is_error():
+        return checked
+    findings = list(_cross_checks(checked.ok))
+    return Error(findings) if findings else checked
+
+
+def _cross_checks(fleet: FleetSettings) -> Iterator[Finding]:
+    yield from check_tree(fleet.tree)
+    yield from _check_schemes(fleet)
+    yield from _check_names(fleet)
+    yield from _check_upstreams(fleet)
+    yield from _check_branches(fleet)
+    yield from _check_keys(fleet)
+    for index, route in enumerate(fleet.routes):
+        yield from _check_route(fleet, route, f"$.routes[{index}]")
+    yield from _check_route_clashes(fleet)
+
+
+def _check_schemes(fleet: FleetSettings) -> Iterator[Finding]:
+    for name, scheme in fleet.schemes.items():
+        for field in ("service", "workspace", "failure_domain"):
+            try:
+                re.compile(getattr(scheme, field))
+            except re.error as error:
+                yield Finding(
+                    f"$.schemes.{name}.{field}",
+                    str(error),
+                    "a regular expression",
+                )
+
+
+def _check_names(fleet: FleetSettings) -> Iterator[Finding]:
+    """Checks that names match their scheme, and that none means two objects."""
+    kinds: list[tuple[str, Sequence[tuple[str, Sequence[Named]]]]] = [
+        ("service", [("groups", fleet.groups), ("routes", fleet.routes)]),
+        ("workspace", [("workspaces", fleet.workspaces)]),
+        ("failure_domain", [("failure_domains", fleet.failure_domains)]),
+    ]
+    for kind, lists in kinds:
+        for field, objects in lists:
+            yield from _check_names_of(fleet.schemes, kind, field, objects)
+
+
+def _check_names_of(
+    schemes: dict[str, NamingScheme],
+    kind: str,
+    field: str,
+    objects: Iterable[Named],
+) -> Iterator[Finding]:
+    owner_by_name: dict[str, str] = {}
+    for index, item in enumerate(objects):
+        place = f"$.{field}[{index}]"
+        if item.id in owner_by_name:
+            yield Finding(f"{place}.id", repr(item.id), "a name used once")
+        owner_by_name[item.id] = item.id
+        for scheme, name in item.names.items():
+            here = f"{place}.names.{scheme}"
+            if scheme not in schemes:
+                yield Finding(here, repr(scheme), "a declared naming scheme")
+                continue
+            if not _matches(getattr(schemes[scheme], kind), name):
+                yield Finding(here, repr(name), f"a {kind} name of scheme {scheme}")
+            if owner_by_name.setdefault(name, item.id) != item.id:
+                yield Finding(here, repr(name), "a name used once")
+
+
+def _matches(pattern: str, name: str) -> bool:
+    try:
+        return re.fullmatch(pattern, name) is not None
+    except re.error:
+        return True  # the pattern has a finding of its own
+
+
+def _check_upstreams(fleet: FleetSettings) -> Iterator[Finding]:
+    groups = {group.id for group in fleet.groups}
+    domains = {domain.id for domain in fleet.failure_domains}
+    seen: set[str] = set()
+    for index, upstream in enumerate(fleet.upstreams):
+        place = f"$.upstreams[{index}]"
+        if upstream.id in seen:
+            yield Finding(f"{place}.id", repr(upstream.id), "an id used once")
+        seen.add(upstream.id)
+        if upstream.group not in groups:
+            yield Finding(f"{place}.group", repr(upstream.group), "the id of a group")
+        if upstream.failure_domain not in domains:
+            yield Finding(
+                f"{place}.failure_domain",
+                repr(upstream.failure_domain),
+                "the id of a failure domain",
+            )
+        if upstream.cold_requests > upstream.max_requests:
+            yield Finding(
+                f"{place}.cold_requests",
+                str(upstream.cold_requests),
+                f"at most max_requests ({upstream.max_requests})",
+            )
+
+
+def _check_branches(fleet: FleetSettings) -> Iterator[Finding]:
+    branches_by_field = {
+        "workspaces": [workspace.branch for workspace in fleet.workspaces],
+        "routes": [route.branch for route in fleet.routes],
+    }
+    for field, branches in branches_by_field.items():
+        for index, branch in enumerate(branches):
+            if branches_along(fleet.tree, branch) is None:
+                yield Finding(
+                    f"$.{field}[{index}].branch",
+                    repr(branch),
+                    "the path of a branch in $.tree",
+                )
+
+
+def _check_keys(fleet: FleetSettings) -> Iterator[Finding]:
+    workspaces = {workspace.id for workspace in fleet.workspaces}
+    digests: set[str] = set()
+    for index, key in enumerate(fleet.keys):
+        if key.workspace not in workspaces:
+            yield Finding(
+                f"$.keys[{index}].workspace",
+                repr(key.workspace),
+                "the id of a workspace",
+            )
+        if key.digest in digests:
+            yield Finding(
+                f"$.keys[{index}].digest", "a digest used twice", "a digest used once"
+            )
+        digests.add(key.digest)
+
+
+def _check_route(fleet: FleetSettings, route: Route, place: str) -> Iterator[Finding]:
+    if route.kind is RouteKind.COMPLETIONS:
+        needed = {
+            "prefill_group": GroupRole.PREFILL,
+            "decode_group": GroupRole.DECODE,
+        }
+        if route.model not in {model.name for model in fleet.models}:
+            yield Finding(f"{place}.model", repr(route.model), "the name of a model")
+    else:
+        needed = {"group": GroupRole.SERVICE}
+        if not route.path_prefix or not route.path_prefix.startswith("/"):
+            yield Finding(
+                f"{place}.path_prefix", repr(route.path_prefix), "a path from '/'"
+            )
+    role_by_group = {group.id: group.role for group in fleet.groups}
+    for field, role in needed.items():
+        group = getattr(route, field)
+        if role_by_group.get(group) is not role:
+            yield Finding(
+                f"{place}.{field}",
+                repr(group),
+                f"the id of a group with role {role.value}",
+            )
+    workspaces = {workspace.id for workspace in fleet.workspaces}
+    for index, workspace in enumerate(route.workspaces):
+        if workspace not in workspaces:
+            yield Finding(
+                f"{place}.workspaces[{index}]",
+                repr(workspace),
+                "the id of a workspace",
+            )
+
+
+def _check_route_clashes(fleet: FleetSettings) -> Iterator[Finding]:
+    owner_by_target: dict[str, str] = {}
+    for index, route in enumerate(fleet.routes):
+        field = "model" if route.kind is RouteKind.COMPLETIONS else "path_prefix"
+        target = f"{field} {getattr(route, field)}"
+        if owner_by_target.setdefault(target, route.id) != route.id:
+            yield Finding(
+                f"$.routes[{index}].{field}",
+                repr(getattr(route, field)),
+                "a target that no other route has",
+            )
--- /dev/null
+++ b/wasabimux/settings/findings.py
@@ -0,0 +1,90 @@
+"""Findings of a check, each with its place, reported together."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any, NamedTuple, TypeVar
+
+from expression import Error, Ok, Result
+from pydantic import BaseModel, ValidationError
+
+SettingsModel = TypeVar("SettingsModel", bound=BaseModel)
+
+
+class Finding(NamedTuple):
+    """One fault in a settings document.
+
+    Attributes:
+        place: JSON path of the faulty value, such as `$.routes[2].group`.
+        found: What stands there.
+        expected: What should stand there.
+    """
+
+    place: str
+    found: str
+    expected: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: found {self.found}, expected {self.expected}"
+
+
+def json_path(parts: tuple[int | str, ...]) -> str:
+    """Formats the parts of a place as a JSON path."""
+    path = "$"
+    for part in parts:
+        path += f"[{part}]" if isinstance(part, int) else f".{part}"
+    return path
+
+
+def check_document(
+    model: type[SettingsModel], document: Any
+) -> Result[SettingsModel, list[Finding]]:
+    """Checks a decoded JSON document against a pydantic model.
+
+    Args:
+        model: The model of the whole document.
+        document: The decoded JSON value.
+
+    Returns:
+        The checked model, or all findings.
+    """
+    try:
+        return Ok(model.model_validate(document))
+    except ValidationError as error:
+        return Error([_finding_from(item) for item in error.errors()])
+
+
+def read_document(
+    model: type[SettingsModel], path: Path
+) -> Result[SettingsModel, list[Finding]]:
+    """Reads a JSON file and checks it.
+
+    Args:
+        model: The model of the whole document.
+        path: File to read.
+
+    Returns:
+        The checked model, or all findings.
+    """
+    try:
+        document = json.loads(path.read_bytes())
+    except OSError as error:
+        return Error([Finding("$", error.strerror or "an error", "a readable file")])
+    except ValueError as error:
+        return Error([Finding("$", str(error), "a JSON document")])
+    return check_document(model, document)
+
+
+def _finding_from(item: Any) -> Finding:
+    """Turns an error of pydantic into a finding."""
+    found = repr(item["input"])
+    if item["type"] == "missing":
+        found = "nothing"
+    elif item["type"] == "extra_forbidden":
+        return Finding(json_path(item["loc"]), "an unknown field", "no such field")
+    return Finding(json_path(item["loc"]), _shorten(found), item["msg"])
+
+
+def _shorten(text: str, limit: int = 80) -> str:
+    return text if len(text) <= limit else text[: limit - 3] + "..."
--- /dev/null
+++ b/wasabimux/settings/index.py
@@ -0,0 +1,143 @@
+"""A version of the fleet's settings, indexed for requests."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any, NamedTuple
+
+from wasabimux.ids import KeyDigest, SettingsVersion, WorkspaceId
+from wasabimux.settings.catalog import Repeat, Urgency
+from wasabimux.settings.fleet import (
+    FleetSettings,
+    KeyState,
+    Route,
+    RouteKind,
+    Upstream,
+)
+from wasabimux.settings.tree import effective
+
+
+class RouteSettings(NamedTuple):
+    """Settings of a route's branch that requests need.
+
+    Attributes:
+        deadline_s: Longest time from arrival to the end of the answer.
+        max_output_tokens: Largest limit on output tokens.
+        patient: True for work that may wait.
+        repeat: Which calls may be sent again.
+    """
+
+    deadline_s: float
+    max_output_tokens: int
+    patient: bool
+    repeat: Repeat
+
+
+class WorkspaceSettings(NamedTuple):
+    """Settings of a workspace's branch that requests need.
+
+    Attributes:
+        rate_tokens_per_s: Share of the workspace over all instances.
+        burst_tokens: Tokens it may use at once after being idle.
+        weight: Share relative to others when upstreams are full.
+    """
+
+    rate_tokens_per_s: float
+    burst_tokens: float
+    weight: float
+
+
+def key_digest(key: str) -> KeyDigest:
+    """Returns the digest under which a key is kept."""
+    return KeyDigest(hashlib.sha256(key.encode()).hexdigest())
+
+
+class FleetIndex:
+    """Answers the questions of a request on one version of the settings.
+
+    Args:
+        version: Version of the settings.
+        fleet: The settings, already checked.
+    """
+
+    def __init__(self, version: SettingsVersion, fleet: FleetSettings) -> None:
+        self.version = version
+        self.fleet = fleet
+        self.upstreams_by_group: dict[str, list[Upstream]] = {}
+        for upstream in fleet.upstreams:
+            self.upstreams_by_group.setdefault(upstream.group, []).append(upstream)
+        self._workspace_by_key = {
+            KeyDigest(key.digest): WorkspaceId(key.workspace)
+            for key in fleet.keys
+            if key.state is KeyState.GRANTED
+        }
+        self._route_by_model = {
+            route.model: route
+            for route in fleet.routes
+            if route.kind is RouteKind.COMPLETIONS
+        }
+        service_routes = [
+            route for route in fleet.routes if route.kind is RouteKind.SERVICE
+        ]
+        self._service_routes = sorted(
+            service_routes, key=lambda route: len(route.path_prefix or ""), reverse=True
+        )
+        self._branch_by_workspace = {item.id: item.branch for item in fleet.workspaces}
+        self._bytes_per_token_by_model = {
+            model.name: model.bytes_per_token for model in fleet.models
+        }
+        self._values_by_branch: dict[str, dict[str, Any]] = {}
+
+    def workspace_of(self, digest: KeyDigest) -> WorkspaceId | None:
+        """Returns the workspace that a key opens, None for an unknown key."""
+        return self._workspace_by_key.get(digest)
+
+    def completions_route(self, model: str) -> Route | None:
+        """Returns the route of a model."""
+        return self._route_by_model.get(model)
+
+    def completions_routes(self) -> list[Route]:
+        """Returns the routes of all models."""
+        return list(self._route_by_model.values())
+
+    def service_route(self, path: str) -> Route | None:
+        """Returns the route with the longest prefix of whole path segments."""
+        for route in self._service_routes:
+            prefix = (route.path_prefix or "").rstrip("/")
+            if path == prefix or path.startswith(prefix + "/"):
+                return route
+        return None
+
+    def may_use(self, workspace: WorkspaceId | None, route: Route) -> bool:
+        """Tells whether a workspace, None for no key, may use a route."""
+        if workspace is None:
+            return route.open
+        return route.open or not route.workspaces or workspace in route.workspaces
+
+    def bytes_per_token(self, model: str) -> float:
+        """Returns the length of a token of a model's prompts."""
+        return self._bytes_per_token_by_model[model]
+
+    def route_settings(self, route: Route) -> RouteSettings:
+        """Returns the settings in force for a route."""
+        values = self._values(route.branch)
+        return RouteSettings(
+            values["deadline_s"],
+            values["max_output_tokens"],
+            values["urgency"] is Urgency.PATIENT,
+            values["repeat"],
+        )
+
+    def workspace_settings(self, workspace: WorkspaceId) -> WorkspaceSettings:
+        """Returns the settings in force for a workspace."""
+        values = self._values(self._branch_by_workspace[workspace])
+        return WorkspaceSettings(
+            values["rate_tokens_per_s"], values["burst_tokens"], values["weight"]
+        )
+
+    def _values(self, branch: str) -> dict[str, Any]:
+        values = self._values_by_branch.get(branch)
+        if values is None:
+            values = effective(self.fleet.tree, branch)
+            self._values_by_branch[branch] = values
+        return values
--- /dev/null
+++ b/wasabimux/settings/views.py
@@ -0,0 +1,41 @@
+"""Parts of the settings that one process needs."""
+
+from __future__ import annotations
+
+from wasabimux.settings.fleet import (
+    Document,
+    DomainState,
+    FleetSettings,
+    Upstream,
+    UpstreamState,
+)
+
+
+class AgentView(Document):
+    """What an agent needs to know; entries send it over their links.
+
+    Attributes:
+        accepting: False while the upstream drains or its domain is out.
+        max_requests: Most requests the upstream may run at a time.
+        cold_requests: Requests that it can bear while cold.
+        warm_up_s: Time without a sign of cold until it may get more.
+    """
+
+    accepting: bool
+    max_requests: int
+    cold_requests: int
+    warm_up_s: float
+
+
+def agent_view(fleet: FleetSettings, upstream: Upstream) -> AgentView:
+    """Extracts what the agent of an upstream needs."""
+    in_service = any(
+        domain.id == upstream.failure_domain and domain.state is DomainState.IN_SERVICE
+        for domain in fleet.failure_domains
+    )
+    return AgentView(
+        accepting=in_service and upstream.state is UpstreamState.ACTIVE,
+        max_requests=upstream.max_requests,
+        cold_requests=upstream.cold_requests,
+        warm_up_s=upstream.warm_up_s,
+    )
--- /dev/null
+++ b/wasabimux/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, engines and plain services."""
--- /dev/null
+++ b/wasabimux/standins/embedded.py
@@ -0,0 +1,143 @@
+"""A whole fleet on one loop: entry, agents, platform and stand-ins."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import AsyncGenerator
+from contextlib import AsyncExitStack, asynccontextmanager
+from typing import NamedTuple
+
+from wasabimux.adapters.http_server import Handler, HttpServer
+from wasabimux.entry.feed import SETTINGS_KIND, SETTINGS_NAME
+from wasabimux.runtime import RunningAgent, RunningEntry, run_agent, run_entry
+from wasabimux.settings.fleet import FleetSettings, Group, GroupRole, Upstream
+from wasabimux.settings.process import AgentSettings, EntrySettings, UpstreamKind
+from wasabimux.standins.engine import EngineModel, EngineParameters
+from wasabimux.standins.engine_server import EngineServer, fetch_kv_over_http
+from wasabimux.standins.platform import MemoryPlatform
+from wasabimux.standins.service import PlainService
+
+LOOPBACK = "127.0.0.1"
+ANY_PORT = f"{LOOPBACK}:0"
+
+
+class EmbeddedFleet(NamedTuple):
+    """A running fleet.
+
+    Attributes:
+        entry: The entry.
+        agents_by_id: Agents by the id of their upstream.
+        engines_by_id: Engines by the id of their upstream.
+        services_by_id: Plain services by the id of their upstream.
+        platform: The platform.
+    """
+
+    entry: RunningEntry
+    agents_by_id: dict[str, RunningAgent]
+    engines_by_id: dict[str, EngineServer]
+    services_by_id: dict[str, PlainService]
+    platform: MemoryPlatform
+
+    async def drain(self) -> bool:
+        """Ends all work: callers first, then the agents."""
+        drained = await self.entry.drain()
+        for agent in self.agents_by_id.values():
+            drained = await agent.drain() and drained
+        return drained
+
+
+@asynccontextmanager
+async def run_embedded(
+    fleet: FleetSettings,
+    callers: str = ANY_PORT,
+    admin: str = ANY_PORT,
+    parameters: EngineParameters = EngineParameters(),
+    rng: random.Random | None = None,
+) -> AsyncGenerator[EmbeddedFleet, None]:
+    """Runs a fleet; agents and stand-ins listen on ports of their own choice.
+
+    Args:
+        fleet: Settings of the fleet; the addresses of agents are replaced.
+        callers: Address for callers, as `IP:PORT`.
+        admin: Address for operators, as `IP:PORT`.
+        parameters: Capacities of the engines.
+        rng: Source of random choices.
+    """
+    builder = _FleetBuilder(fleet, parameters)
+    async with AsyncExitStack() as stack:
+        for upstream in fleet.upstreams:
+            await builder.add(stack, upstream)
+        platform = MemoryPlatform()
+        value = json.dumps(builder.document()).encode()
+        await platform.put(SETTINGS_KIND, SETTINGS_NAME, value, 0)
+        settings = EntrySettings(
+            instance="entry-embedded",
+            failure_domain=fleet.failure_domains[0].id,
+            admin=admin,
+            callers=callers,
+            peers=ANY_PORT,
+            platform=ANY_PORT,
+            plain_links=True,
+        )
+        entry = await stack.enter_async_context(
+            run_entry(settings, platform, rng or random.Random())
+        )
+        yield EmbeddedFleet(
+            entry,
+            builder.agents_by_id,
+            builder.engines_by_id,
+            builder.services_by_id,
+            platform,
+        )
+
+
+class _FleetBuilder:
+    """Starts the stand-in and the agent of each upstream."""
+
+    def __init__(self, fleet: FleetSettings, parameters: EngineParameters) -> None:
+        self._fleet = fleet
+        self._parameters = parameters
+        self._groups_by_id: dict[str, Group] = {item.id: item for item in fleet.groups}
+        self.agents_by_id: dict[str, RunningAgent] = {}
+        self.engines_by_id: dict[str, EngineServer] = {}
+        self.services_by_id: dict[str, PlainService] = {}
+
+    async def add(self, stack: AsyncExitStack, upstream: Upstream) -> None:
+        """Starts what stands behind one upstream."""
+        is_service = self._groups_by_id[upstream.group].role is GroupRole.SERVICE
+        if is_service:
+            service = PlainService()
+            self.services_by_id[upstream.id] = service
+            address = await _listen(stack, service.handle)
+        else:
+            model = EngineModel("", self._parameters, fetch_kv_over_http)
+            engine = EngineServer(model)
+            self.engines_by_id[upstream.id] = engine
+            address = model.address = await _listen(stack, engine.handle)
+        settings = AgentSettings(
+            instance=f"agent-{upstream.id}",
+            failure_domain=upstream.failure_domain,
+            admin=ANY_PORT,
+            plain_links=True,
+            upstream_id=upstream.id,
+            link=ANY_PORT,
+            kind=UpstreamKind.SERVICE if is_service else UpstreamKind.ENGINE,
+            upstream=address,
+        )
+        agent = await stack.enter_async_context(run_agent(settings))
+        self.agents_by_id[upstream.id] = agent
+
+    def document(self) -> object:
+        """Returns the settings with the agents' real addresses."""
+        document = self._fleet.model_dump(mode="json")
+        for upstream in document["upstreams"]:
+            host, port = self.agents_by_id[upstream["id"]].link
+            upstream["agent"] = f"{host}:{port}"
+        return document
+
+
+async def _listen(stack: AsyncExitStack, handler: Handler) -> str:
+    server = await stack.enter_async_context(HttpServer(handler))
+    host, port = await server.listen(LOOPBACK, 0)
+    return f"{host}:{port}"
--- /dev/null
+++ b/wasabimux/standins/engine_server.py
@@ -0,0 +1,113 @@
+"""The engine stand-in's API over HTTP."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncGenerator
+
+from wasabimux.adapters.http_client import HttpClient
+from wasabimux.adapters.http_server import HttpRequest, HttpResponse
+from wasabimux.ports import EngineRefused, UpstreamLost
+from wasabimux.standins.engine import EngineModel
+
+
+async def fetch_kv_over_http(source: str, handle: str) -> int:
+    """Fetches a KV cache from another stand-in; returns its tokens."""
+    host, _, port = source.rpartition(":")
+    async with HttpClient(host, int(port)) as client:
+        response = await client.request("GET", f"/v1/export/{handle}")
+        async with response:
+            body = json.loads(await response.body())
+    if response.status != 200:
+        raise EngineRefused(response.status, body.get("error", ""))
+    return int(body["tokens"])
+
+
+class EngineServer:
+    """Serves an engine; `headers_seen` holds what callers sent.
+
+    Args:
+        model: The engine.
+    """
+
+    def __init__(self, model: EngineModel) -> None:
+        self.model = model
+        self.headers_seen: set[str] = set()
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answers one call."""
+        if request.path == "/_standin/state":
+            state = self.model.state() | {"headers": sorted(self.headers_seen)}
+            return _json_response(200, state)
+        if request.path == "/_standin/faults":
+            self._set_faults(json.loads(await request.body()))
+            return _json_response(200, {})
+        for name, value in request.headers:
+            self.headers_seen.add(f"{name.decode()}: {value.decode('latin-1')}")
+        try:
+            return await self._handle_call(request)
+        except EngineRefused as refusal:
+            return _json_response(refusal.status, {"error": refusal.message})
+
+    async def _handle_call(self, request: HttpRequest) -> HttpResponse:
+        model = self.model
+        body = await request.body()
+        run = (request.header(b"x-run") or b"").decode()
+        match request.method, request.path.strip("/").split("/"):
+            case "POST", ["v1", "prefill"]:
+                patient = request.header(b"x-patient") == b"1"
+                result = await model.prefill(run, body, patient)
+                return _json_response(
+                    200,
+                    {
+                        "source": result.source,
+                        "handle": result.handle,
+                        "prompt_tokens": result.prompt_tokens,
+                        "cached_tokens": result.cached_tokens,
+                    },
+                )
+            case "GET", ["v1", "export", handle]:
+                return _json_response(200, {"tokens": await model.export(handle)})
+            case "POST", ["v1", "import"]:
+                source = json.loads(body)
+                await model.import_kv(run, source["source"], source["handle"])
+                return _json_response(200, {})
+            case "POST", ["v1", "decode"]:
+                chat = request.header(b"x-chat") == b"1"
+                return HttpResponse(200, body=self._decode(run, body, chat))
+            case "POST", ["v1", "cancel"]:
+                await model.cancel(run)
+                return _json_response(200, {})
+            case "POST", ["v1", "orders"]:
+                await model.order(int(json.loads(body)["fence"]))
+                return _json_response(200, {})
+            case "GET", ["v1", "runs"]:
+                return _json_response(200, {"runs": await model.runs()})
+            case "GET", ["v1", "load"]:
+                return _json_response(200, {"cold": await model.is_cold()})
+        return _json_response(404, {"error": "no such call"})
+
+    async def _decode(
+        self, run: str, body: bytes, chat: bool
+    ) -> AsyncGenerator[bytes, None]:
+        try:
+            async for piece in self.model.decode(run, body, chat):
+                yield piece
+        except EngineRefused as refusal:
+            raise UpstreamLost(refusal.message, sent=True) from refusal
+
+    def _set_faults(self, faults: dict[str, object]) -> None:
+        for name, value in faults.items():
+            if name == "turn_cold":
+                self.model.turn_cold()
+            elif name == "crash":
+                self.model.crash()
+            elif name == "restart":
+                self.model.restart()
+            else:
+                setattr(self.model.faults, name, value)
+
+
+def _json_response(status: int, value: object) -> HttpResponse:
+    headers = [(b"content-type", b"application/json")]
+    return HttpResponse(status, headers, json.dumps(value).encode())
--- /dev/null
+++ b/wasabimux/standins/laptop.py
@@ -0,0 +1,218 @@
+"""A fleet as separate processes on one laptop, for examples and tests.
+
+Nothing of the product starts processes; this helper does so in place of the
+platform.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from wasabimux.settings.fleet import FleetSettings, GroupRole, Upstream
+from wasabimux.settings.process import AgentSettings, EntrySettings, UpstreamKind
+
+LOOPBACK = "127.0.0.1"
+STOP_TIMEOUT_S = 10.0
+PLATFORM = "platform"
+
+
+class Command(NamedTuple):
+    """A process to start.
+
+    Attributes:
+        name: Name of the process, unique in the layout.
+        arguments: Command line without the interpreter.
+    """
+
+    name: str
+    arguments: list[str]
+
+
+class Ports:
+    """Hands out addresses on loopback: a fixed row, or any free ones.
+
+    Args:
+        first: First port of the row, or None for free ports.
+    """
+
+    def __init__(self, first: int | None) -> None:
+        self._next = first
+
+    def address(self) -> str:
+        """Returns an address that was not handed out before."""
+        if self._next is None:
+            with socket.socket() as probe:
+                probe.bind((LOOPBACK, 0))
+                return f"{LOOPBACK}:{probe.getsockname()[1]}"
+        self._next += 1
+        return f"{LOOPBACK}:{self._next - 1}"
+
+
+class Layout:
+    """Writes the settings files of a fleet and lists its processes.
+
+    Args:
+        fleet: Settings of the fleet; addresses of agents are replaced.
+        folder: Where the files go.
+        ports: Addresses of the processes.
+        entries: Number of entries.
+        engine_parameters: Capacities of engines that differ from the defaults.
+    """
+
+    def __init__(
+        self,
+        fleet: FleetSettings,
+        folder: Path,
+        ports: Ports,
+        entries: int = 2,
+        engine_parameters: dict[str, Any] | None = None,
+    ) -> None:
+        self.callers: list[str] = []
+        self.admin_by_name: dict[str, str] = {}
+        self.standin_by_upstream: dict[str, str] = {}
+        self.platform = ports.address()
+        self.commands: list[Command] = []
+        self._fleet = fleet
+        self.folder = folder
+        self._ports = ports
+        self._engine_parameters = engine_parameters or {}
+        self._write_all(entries)
+
+    def _write_all(self, entries: int) -> None:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        document = self._fleet.model_dump(mode="json")
+        daemons = [
+            self._write_upstream(upstream, raw)
+            for upstream, raw in zip(self._fleet.upstreams, document["upstreams"])
+        ]
+        self._write("fleet.json", document)
+        fleet_file = str(self.folder / "fleet.json")
+        arguments = [PLATFORM, self.platform, "--fleet", fleet_file]
+        self._add_standin(PLATFORM, arguments)
+        for number in range(1, entries + 1):
+            daemons.append(self._write_entry(f"entry-{number}"))
+        self.commands.extend(daemons)
+
+    def _write_upstream(self, upstream: Upstream, raw: dict[str, Any]) -> Command:
+        """Writes an agent's settings; its stand-in is listed at once."""
+        role = next(
+            group.role for group in self._fleet.groups if group.id == upstream.group
+        )
+        kind = UpstreamKind.ENGINE
+        if role is GroupRole.SERVICE:
+            kind = UpstreamKind.SERVICE
+        standin, link = self._ports.address(), self._ports.address()
+        raw["agent"] = link
+        self.standin_by_upstream[upstream.id] = standin
+        name = f"agent-{upstream.id}"
+        settings = AgentSettings(
+            instance=name,
+            failure_domain=upstream.failure_domain,
+            admin=self._admin(name),
+            plain_links=True,
+            upstream_id=upstream.id,
+            link=link,
+            kind=kind,
+            upstream=standin,
+        )
+        self._write(f"{name}.json", settings.model_dump(mode="json"))
+        arguments = [kind.value, standin]
+        if kind is UpstreamKind.ENGINE and self._engine_parameters:
+            arguments += ["--parameters", json.dumps(self._engine_parameters)]
+        self._add_standin(upstream.id, arguments)
+        return self._daemon("agent", name)
+
+    def _write_entry(self, name: str) -> Command:
+        callers = self._ports.address()
+        self.callers.append(callers)
+        settings = EntrySettings(
+            instance=name,
+            failure_domain=self._fleet.failure_domains[0].id,
+            admin=self._admin(name),
+            callers=callers,
+            peers=self._ports.address(),
+            platform=self.platform,
+            plain_links=True,
+        )
+        self._write(f"{name}.json", settings.model_dump(mode="json"))
+        return self._daemon("entry", name)
+
+    def _admin(self, name: str) -> str:
+        address = self._ports.address()
+        self.admin_by_name[name] = address
+        return address
+
+    def _daemon(self, role: str, name: str) -> Command:
+        file = str(self.folder / f"{name}.json")
+        return Command(name, ["-m", "wasabimux.cli.daemon", role, file])
+
+    def _add_standin(self, name: str, arguments: list[str]) -> None:
+        command = Command(name, ["-m", "wasabimux.standins", *arguments])
+        self.commands.append(command)
+
+    def _write(self, name: str, value: Any) -> None:
+        (self.folder / name).write_text(json.dumps(value, indent=2) + "\n")
+
+
+class Laptop:
+    """Runs the processes of a layout; a context manager that ends them.
+
+    Args:
+        layout: The processes.
+    """
+
+    def __init__(self, layout: Layout) -> None:
+        self.layout = layout
+        self._process_by_name: dict[str, subprocess.Popen[bytes]] = {}
+
+    def __enter__(self) -> Laptop:
+        for command in self.layout.commands:
+            self.start(command.name)
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for name in list(self._process_by_name):
+            self.kill(name)
+
+    def start(self, name: str) -> None:
+        """Starts a process of the layout."""
+        command = next(item for item in self.layout.commands if item.name == name)
+        log = self._log_file(name)
+        with log.open("ab") as output:
+            self._process_by_name[name] = subprocess.Popen(
+                [sys.executable, *command.arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                env=os.environ | {"PYTHONDONTWRITEBYTECODE": "1"},
+            )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a process."""
+        self._process_by_name[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Ends a process at once."""
+        process = self._process_by_name.pop(name)
+        process.kill()
+        process.wait(STOP_TIMEOUT_S)
+
+    def stop(self, name: str) -> int:
+        """Asks a process to end in good order; returns its exit code."""
+        process = self._process_by_name.pop(name)
+        process.terminate()
+        return process.wait(STOP_TIMEOUT_S)
+
+    def log(self, name: str) -> str:
+        """Returns what a process has written."""
+        return self._log_file(name).read_text()
+
+    def _log_file(self, name: str) -> Path:
+        return self.layout.folder / f"{name}.log"
--- /dev/null
+++ b/wasabimux/standins/platform.py
@@ -0,0 +1,212 @@
+"""A stand-in for the platform's object API.
+
+It offers versions, conditional updates, watches and a lagging list of
+instances, counts every call against a limit, and has outages, slow answers
+and answers lost after effect on demand.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+
+from wasabimux.adapters.http_server import HttpRequest, HttpResponse
+from wasabimux.ports import (
+    InstanceRecord,
+    StoreConflict,
+    StoredObject,
+    StoreUnavailable,
+)
+
+MAX_VALUE_BYTES = 1024 * 1024
+
+
+@dataclass(slots=True)
+class PlatformFaults:
+    """What is wrong with the platform now.
+
+    Attributes:
+        down: No call is answered or takes effect.
+        delay_s: Delay of every answer.
+        lose_answers: Changes take effect, but their answers are lost.
+        list_lag_s: Age of the list of instances.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    lose_answers: bool = False
+    list_lag_s: float = 1.0
+
+
+@dataclass(slots=True)
+class MemoryPlatform:
+    """The platform's state in memory; implements the Store port."""
+
+    faults: PlatformFaults = field(default_factory=PlatformFaults)
+    reads: int = 0
+    writes: int = 0
+    _objects_by_key: dict[tuple[str, str], StoredObject] = field(default_factory=dict)
+    _instances_by_id: dict[str, InstanceRecord] = field(default_factory=dict)
+    _instance_history: list[tuple[float, list[InstanceRecord]]] = field(
+        default_factory=list
+    )
+    _version: int = 0
+    _changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        """Reads an object."""
+        self.reads += 1
+        await self._answer_or_fail()
+        return self._objects_by_key.get((kind, name))
+
+    async def put(self, kind: str, name: str, value: bytes, expected: int) -> int:
+        """Writes an object whose version must be `expected`."""
+        self.writes += 1
+        await self._answer_or_fail()
+        if len(value) > MAX_VALUE_BYTES:
+            raise ValueError("the value is too large")
+        current = self._objects_by_key.get((kind, name))
+        current_version = current.version if current else 0
+        if current_version != expected:
+            raise StoreConflict(current_version)
+        self._version += 1
+        self._objects_by_key[kind, name] = StoredObject(name, self._version, value)
+        self._notify()
+        if self.faults.lose_answers:
+            raise StoreUnavailable("the answer was lost")
+        return self._version
+
+    async def watch(self, kind: str, after: int, wait_s: float) -> list[StoredObject]:
+        """Waits for objects of a kind changed after a version."""
+        self.reads += 1
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + wait_s
+        while True:
+            await self._answer_or_fail()
+            found = [
+                item
+                for (item_kind, _), item in self._objects_by_key.items()
+                if item_kind == kind and item.version > after
+            ]
+            remaining_s = deadline - loop.time()
+            if found or remaining_s <= 0:
+                return sorted(found, key=lambda item: item.version)
+            try:
+                await asyncio.wait_for(self._changed.wait(), remaining_s)
+            except TimeoutError:
+                pass
+
+    async def instances(self) -> list[InstanceRecord]:
+        """Returns the list of instances as it was `list_lag_s` ago."""
+        self.reads += 1
+        await self._answer_or_fail()
+        seen_at = asyncio.get_running_loop().time() - self.faults.list_lag_s
+        listed: list[InstanceRecord] = []
+        for noted_s, records in self._instance_history:
+            if noted_s <= seen_at:
+                listed = records
+        return listed
+
+    def set_instance(self, record: InstanceRecord) -> None:
+        """Adds or changes an entry of the list."""
+        self._instances_by_id[record.instance] = record
+        now = asyncio.get_running_loop().time()
+        self._instance_history.append((now, list(self._instances_by_id.values())))
+
+    def set_down(self, down: bool) -> None:
+        """Starts or ends an outage; waiting watches fail at once."""
+        self.faults.down = down
+        self._notify()
+
+    async def _answer_or_fail(self) -> None:
+        if self.faults.delay_s:
+            await asyncio.sleep(self.faults.delay_s)
+        if self.faults.down:
+            raise StoreUnavailable("outage")
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+class PlatformServer:
+    """The platform's API over HTTP.
+
+    Args:
+        platform: State that is served.
+        token: Credential that every call must carry, None for no check.
+    """
+
+    def __init__(self, platform: MemoryPlatform, token: str | None = None) -> None:
+        self.platform = platform
+        self._token = token
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answers one call."""
+        if request.path.startswith("/_standin/"):
+            return await self._handle_standin(request)
+        if self._token is not None:
+            expected = f"Bearer {self._token}".encode()
+            if request.header(b"authorization") != expected:
+                return _json_response(401, {})
+        parts = request.path.strip("/").split("/")
+        try:
+            return await self._handle_call(request, parts)
+        except StoreConflict as conflict:
+            return _json_response(412, {"current": conflict.current})
+        except StoreUnavailable:
+            return _json_response(503, {})
+        except ValueError as error:
+            return _json_response(413, {"error": str(error)})
+
+    async def _handle_call(
+        self, request: HttpRequest, parts: list[str]
+    ) -> HttpResponse:
+        match request.method, parts:
+            case "GET", ["v1", "objects", kind, name]:
+                item = await self.platform.get(kind, name)
+                if item is None:
+                    return _json_response(404, {})
+                return _json_response(200, _object_json(item))
+            case "GET", ["v1", "objects", kind]:
+                query = request.query
+                after = int(query.get("after", "0"))
+                wait_s = float(query.get("wait_s", "0"))
+                found = await self.platform.watch(kind, after, wait_s)
+                return _json_response(200, [_object_json(item) for item in found])
+            case "PUT", ["v1", "objects", kind, name]:
+                expected = int(request.header(b"if-match") or b"0")
+                body = await request.body()
+                version = await self.platform.put(kind, name, body, expected)
+                return _json_response(200, {"version": version})
+            case "GET", ["v1", "instances"]:
+                listed = await self.platform.instances()
+                return _json_response(200, [item._asdict() for item in listed])
+        return _json_response(404, {})
+
+    async def _handle_standin(self, request: HttpRequest) -> HttpResponse:
+        if request.path == "/_standin/instances":
+            for record in json.loads(await request.body()):
+                self.platform.set_instance(InstanceRecord(**record))
+        elif request.method == "POST":
+            faults = json.loads(await request.body())
+            down = faults.pop("down", self.platform.faults.down)
+            for name, value in faults.items():
+                setattr(self.platform.faults, name, value)
+            self.platform.set_down(down)
+        counts = {"reads": self.platform.reads, "writes": self.platform.writes}
+        return _json_response(200, counts)
+
+
+def _object_json(item: StoredObject) -> dict[str, object]:
+    return {
+        "name": item.name,
+        "version": item.version,
+        "value": item.value.decode(),
+    }
+
+
+def _json_response(status: int, value: object) -> HttpResponse:
+    headers = [(b"content-type", b"application/json")]
+    return HttpResponse(status, headers, json.dumps(value).encode())
--- /dev/null
+++ b/wasabimux/standins/service.py
@@ -0,0 +1,74 @@
+"""A stand-in for a plain service that counts what it ran."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+
+from wasabimux.adapters.http_server import HttpRequest, HttpResponse
+
+
+@dataclass(slots=True)
+class ServiceFaults:
+    """What is wrong with the service now.
+
+    Attributes:
+        delay_s: Time that a call takes.
+        fail_after_run: Calls run, but their connection breaks.
+    """
+
+    delay_s: float = 0.0
+    fail_after_run: bool = False
+
+
+@dataclass(slots=True)
+class PlainService:
+    """Runs any call, remembers it, and answers with what it got."""
+
+    faults: ServiceFaults = field(default_factory=ServiceFaults)
+    runs_by_request: dict[str, int] = field(default_factory=dict)
+    headers_seen: set[str] = field(default_factory=set)
+    running: int = 0
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answers one call."""
+        if request.path == "/_standin/faults":
+            for name, value in json.loads(await request.body()).items():
+                setattr(self.faults, name, value)
+            return _json_response({})
+        if request.path == "/_standin/state":
+            return _json_response(self.state())
+        body = await request.body()
+        for name, value in request.headers:
+            self.headers_seen.add(f"{name.decode()}: {value.decode('latin-1')}")
+        request_id = (request.header(b"x-request-id") or b"").decode()
+        self.runs_by_request[request_id] = self.runs_by_request.get(request_id, 0) + 1
+        self.running += 1
+        try:
+            await asyncio.sleep(self.faults.delay_s)
+        finally:
+            self.running -= 1
+        if self.faults.fail_after_run:
+            raise ConnectionResetError("fault: connection broken after the run")
+        return _json_response(
+            {
+                "request_id": request_id,
+                "method": request.method,
+                "target": request.target,
+                "body_bytes": len(body),
+            }
+        )
+
+    def state(self) -> dict[str, object]:
+        """Returns what a test may look at."""
+        return {
+            "runs": self.runs_by_request,
+            "headers": sorted(self.headers_seen),
+            "running": self.running,
+        }
+
+
+def _json_response(value: object) -> HttpResponse:
+    headers = [(b"content-type", b"application/json")]
+    return HttpResponse(200, headers, json.dumps(value).encode())
