Limit rate and burst over all instances by holders of shards

Cause: no limit existed. Ruled out: an equal static split, which refuses requests within rate whenever callers of a workspace meet few entries, and grants without hold times, where an entry could save up grants and exceed the burst together with a refilled bucket.

Change: one holder per shard of workspaces, recorded in the platform's store with an epoch; the sum of level and outstanding grants never exceeds the burst. Entries link to each other, relay settings, and cut requests whose key was withdrawn.

--- a/wasabimux/agent/agent.py
+++ b/wasabimux/agent/agent.py
@@ -13,7 +13,14 @@
 from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError
 from wasabimux.ids import Incarnation, InstanceId, new_incarnation
 from wasabimux.link.link import Link, LinkEvents, LinkTraffic
-from wasabimux.link.messages import End, Hello, Open, Operation, SettingsUpdate
+from wasabimux.link.messages import (
+    End,
+    Hello,
+    Message,
+    Open,
+    Operation,
+    SettingsUpdate,
+)
 from wasabimux.link.stream import LinkLost, LinkStream, StreamCancelled
 from wasabimux.ports import Channel, Engine, EngineRefused, PlainUpstream, UpstreamLost
 from wasabimux.settings.views import AgentView
@@ -162,10 +169,7 @@
         """Takes a connection from an entry."""
         hello = Hello("agent", self._name, self.incarnation)
 
-        def on_open(stream: LinkStream, message: Open) -> None:
-            self._on_open(link, stream, message)
-
-        events = LinkEvents(on_open=on_open, on_settings=self._on_settings)
+        events = LinkEvents(self._on_open, self._on_control)
         link = Link(channel, hello, self.timeline.clock, events, False, self.traffic)
         self._links.add(link)
         link.start()
@@ -198,7 +202,14 @@
         for link in list(self._links):
             link.close()
 
-    def _on_settings(self, update: SettingsUpdate) -> None:
+    def _on_control(self, link: Link, message: Message) -> None:
+        if isinstance(message, SettingsUpdate):
+            self._on_settings(link, message)
+
+    def _on_settings(self, link: Link, update: SettingsUpdate) -> None:
+        if update.version < self.capacity.version:
+            link.send(0, SettingsUpdate(self.capacity.version))
+            return
         view = AgentView.model_validate_json(update.value)
         now = asyncio.get_running_loop().time()
         if update.version > self.capacity.version:
--- a/wasabimux/entry/attempts.py
+++ b/wasabimux/entry/attempts.py
@@ -69,10 +69,10 @@
         self._budget.on_first_attempt()
         while True:
             try:
-                async with asyncio.timeout_at(context.deadline_s):
+                async with context.scope():
                     return await attempt()
             except TimeoutError:
-                late = Refusal(ErrorCode.DEADLINE, "not done in time", Ran.UNKNOWN)
+                late = context.timeout_refusal()
                 raise RefusedError(context.final(late)) from None
             except RefusedError as error:
                 failure = error.refusal
--- a/wasabimux/entry/calls.py
+++ b/wasabimux/entry/calls.py
@@ -165,10 +165,13 @@
         self, context: RequestContext, answer: _CallAnswer
     ) -> AsyncGenerator[bytes, None]:
         with answer.stack:
-            async with asyncio.timeout_at(context.deadline_s):
-                async for piece in answer.stream.payloads():
-                    if isinstance(piece, bytes):
-                        yield piece
+            try:
+                async with context.scope():
+                    async for piece in answer.stream.payloads():
+                        if isinstance(piece, bytes):
+                            yield piece
+            except TimeoutError:
+                raise RefusedError(context.timeout_refusal()) from None
         self._timeline.record("answered", context.request_id, context.workspace)
 
     def _choose(self, context: RequestContext) -> PooledAgent:
--- a/wasabimux/entry/completions.py
+++ b/wasabimux/entry/completions.py
@@ -194,6 +194,7 @@
         body = request.prefill_body()
         agent = self._choose_prefill(context, request)
         message = self._open_message(context, Operation.PREFILL, request, body)
+        context.sent += 1
         with self._open(context, agent, message) as prefill:
             try:
                 source = await prefill.receive_kv_source()
@@ -224,11 +225,12 @@
         """Yields the answer; a failure becomes an error event and a cut."""
         async with answer.stack:
             try:
-                async with asyncio.timeout_at(context.deadline_s):
+                async with context.scope():
                     piece: bytes | End = answer.first
                     while isinstance(piece, bytes):
                         yield piece
                         piece = await anext(answer.pieces)
+                context.used = piece.prompt_tokens + piece.output_tokens
                 self._timeline.record(
                     "answered",
                     context.request_id,
@@ -243,7 +245,7 @@
                 text = "the upstream was lost within the answer"
                 failure = Refusal(ErrorCode.UPSTREAM_LOST, text)
             except TimeoutError:
-                failure = Refusal(ErrorCode.DEADLINE, "the deadline has passed")
+                failure = context.timeout_refusal()
             failure = failure.with_ran(Ran.YES)
             self._timeline.record(
                 "answer_cut",
--- a/wasabimux/entry/context.py
+++ b/wasabimux/entry/context.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass, field
 
 from wasabimux.entry.credentials import Caller
-from wasabimux.errors import Ran, Refusal
+from wasabimux.errors import ErrorCode, Ran, Refusal
 from wasabimux.ids import RequestId, UpstreamId
 from wasabimux.settings.fleet import Route
 from wasabimux.settings.index import RouteSettings
@@ -13,7 +14,7 @@
 RAN_ORDER = (Ran.NO, Ran.UNKNOWN, Ran.YES)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class RequestContext:
     """One request.
 
@@ -26,6 +27,10 @@
         attempt: Number of the present attempt, from 0.
         ran: What is known of all attempts so far.
         tried: Upstreams that have failed it.
+        sent: Messages sent to agents that may have made an engine work.
+        charged: Tokens charged to the workspace.
+        used: Tokens used, once known.
+        cut: Why the request was cut short, if it was.
     """
 
     request_id: RequestId
@@ -36,6 +41,11 @@
     attempt: int = 0
     ran: Ran = Ran.NO
     tried: set[UpstreamId] = field(default_factory=set)
+    sent: int = 0
+    charged: float = 0.0
+    used: float | None = None
+    cut: Refusal | None = None
+    _scope: asyncio.Timeout | None = None
 
     @property
     def workspace(self) -> str:
@@ -47,6 +57,24 @@
         """Loop time at which the answer must have ended."""
         return self.accepted_s + self.settings.deadline_s
 
+    def scope(self) -> asyncio.Timeout:
+        """Returns a timeout that ends at the deadline, or when cut off."""
+        until_s = self.deadline_s if self.cut is None else self.accepted_s
+        self._scope = asyncio.timeout_at(until_s)
+        return self._scope
+
+    def cut_off(self, refusal: Refusal, now: float) -> None:
+        """Ends the request at once with a refusal."""
+        self.cut = refusal
+        if self._scope is not None and not self._scope.expired():
+            self._scope.reschedule(now)
+
+    def timeout_refusal(self) -> Refusal:
+        """Returns why the scope has ended."""
+        if self.cut is not None:
+            return self.cut
+        return Refusal(ErrorCode.DEADLINE, "not done in time", Ran.UNKNOWN)
+
     def budget_ms(self, now: float) -> int:
         """Time left until the deadline."""
         return max(0, round((self.deadline_s - now) * 1000))
--- a/wasabimux/entry/entry.py
+++ b/wasabimux/entry/entry.py
@@ -5,11 +5,17 @@
 import asyncio
 import json
 import random
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from wasabimux.adapters.http_server import HttpRequest, HttpResponse, refusal_response
 from wasabimux.agent.calls import end_to_end_headers
-from wasabimux.decisions.placement import PowerOfTwoChoices, PrefixAffinity
+from wasabimux.decisions.placement import (
+    PowerOfTwoChoices,
+    PrefixAffinity,
+    rendezvous_top,
+)
+from wasabimux.decisions.rate import RateRules
 from wasabimux.decisions.retry import RetryBudget
 from wasabimux.entry.attempts import Attempts
 from wasabimux.entry.calls import CallFlow, ServiceCall
@@ -22,11 +28,30 @@
     strip_headers,
     strip_query,
 )
-from wasabimux.entry.feed import SettingsFeed
+from wasabimux.entry.feed import ANNOUNCE_S, SettingsFeed
+from wasabimux.entry.peers import PeerLinks
 from wasabimux.entry.pool import AgentPool, Connect
-from wasabimux.errors import ErrorCode, RefusedError, refused
-from wasabimux.ids import Incarnation, InstanceId, new_incarnation, new_request_id
-from wasabimux.link.link import LinkTraffic
+from wasabimux.entry.rate_gate import RateGate
+from wasabimux.entry.rate_shards import ShardKeeper
+from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError, refused
+from wasabimux.ids import (
+    Incarnation,
+    InstanceId,
+    WorkspaceId,
+    new_incarnation,
+    new_request_id,
+)
+from wasabimux.link.link import Link, LinkTraffic
+from wasabimux.link.messages import (
+    Claim,
+    ClaimReply,
+    GrantAsk,
+    GrantReply,
+    Hello,
+    Message,
+    SettingsUpdate,
+    SettingsWanted,
+)
 from wasabimux.ports import Store, StoreUnavailable
 from wasabimux.settings.fleet import Route
 from wasabimux.settings.index import FleetIndex
@@ -35,6 +60,12 @@
 COMPLETION_PATHS = frozenset({"/v1/completions", "/v1/chat/completions"})
 MODELS_PATH = "/v1/models"
 
+#: Role of entries in the platform's list of instances.
+ENTRY_ROLE = "entry"
+
+#: Peers that an entry links to, besides the holders it asks.
+PEER_LINKS = 4
+
 #: Time between two looks at the platform's list of instances.
 INSTANCES_POLL_S = 1.0
 
@@ -49,6 +80,7 @@
         subset_size: Most agents of a group to link to.
         timeline: Records events.
         rng: Source of random choices.
+        peer_address: Address for links from other entries, as `IP:PORT`.
     """
 
     def __init__(
@@ -59,14 +91,42 @@
         subset_size: int,
         timeline: Timeline,
         rng: random.Random,
+        peer_address: str,
     ) -> None:
         self.incarnation: Incarnation = new_incarnation()
         self.timeline = timeline
         self.traffic = LinkTraffic()
         self.feed = SettingsFeed(store, self._on_settings, timeline)
         self.pool = AgentPool(
-            instance, self.incarnation, connect, subset_size, timeline, self.traffic
+            instance,
+            self.incarnation,
+            connect,
+            subset_size,
+            timeline,
+            self.traffic,
+            self.feed.note_version,
+        )
+        self.peers = PeerLinks(
+            Hello("entry", instance, self.incarnation),
+            connect,
+            timeline.clock,
+            self.traffic,
+            self._on_peer_message,
         )
+        self.keeper = ShardKeeper(
+            instance,
+            self.incarnation,
+            peer_address,
+            store,
+            self.peers,
+            self._rules_of,
+            lambda: self._other_entries,
+            timeline,
+        )
+        self.gate = RateGate(self.keeper, self.peers, store, rng)
+        self._instance = instance
+        self._other_entries: dict[InstanceId, str] = {}
+        self._active: set[RequestContext] = set()
         attempts = Attempts(RetryBudget(), rng, timeline)
         self._completions = CompletionFlow(
             self.pool, attempts, PrefixAffinity(), PowerOfTwoChoices(), rng, timeline
@@ -82,14 +142,22 @@
         for task in self._tasks:
             task.cancel()
         self.pool.__exit__()
+        self.peers.__exit__()
 
     def start(self) -> None:
         """Starts to follow the settings and the list of instances."""
         self._tasks = [
             asyncio.ensure_future(self.feed.run()),
             asyncio.ensure_future(self._follow_instances()),
+            asyncio.ensure_future(self._keep_peers()),
+            asyncio.ensure_future(self.keeper.run()),
+            asyncio.ensure_future(self.gate.run()),
         ]
 
+    async def release(self) -> None:
+        """Hands over what this entry holds for others, for an orderly end."""
+        await self.keeper.release_all()
+
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answers one request of a caller."""
         try:
@@ -103,8 +171,10 @@
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         index = self.feed.current
-        if index is None:
-            raise refused(ErrorCode.STALE_SETTINGS, "no settings yet")
+        now = asyncio.get_running_loop().time()
+        if index is None or not self.feed.may_serve(now, bool(self._other_entries)):
+            text = "this entry cannot tell whether its settings are in force"
+            raise refused(ErrorCode.STALE_SETTINGS, text)
         caller = identify(request.headers, index)
         if request.path == MODELS_PATH:
             return self._list_models(request, caller, index)
@@ -143,7 +213,10 @@
             raise refused(ErrorCode.NOT_FOUND, f"no model {completion.model!r}")
         context = self._context(request, caller, route, index)
         completion = completion.bounded(context.settings.max_output_tokens)
-        return await self._completions.serve(context, completion)
+        worst = completion.worst_tokens(index.bytes_per_token(completion.model))
+        return await self._serve(
+            context, worst, lambda: self._completions.serve(context, completion)
+        )
 
     async def _call(
         self, request: HttpRequest, caller: Caller, index: FleetIndex
@@ -161,7 +234,39 @@
             [item for item in headers if item[0] not in (b"host", b"expect")],
             body,
         )
-        return await self._calls.serve(context, call)
+        return await self._serve(context, 0, lambda: self._calls.serve(context, call))
+
+    async def _serve(
+        self,
+        context: RequestContext,
+        worst_tokens: int,
+        serve: Callable[[], Awaitable[HttpResponse]],
+    ) -> HttpResponse:
+        """Charges a request, serves it, and refunds what it did not use."""
+        self._active.add(context)
+        try:
+            if worst_tokens and context.workspace:
+                wait_until_s = context.deadline_s if context.settings.patient else 0.0
+                await self.gate.charge(context.workspace, worst_tokens, wait_until_s)
+                context.charged = worst_tokens
+            if context.cut is not None:
+                raise RefusedError(context.cut)
+            response = await serve()
+        except BaseException:
+            self._finish(context)
+            raise
+        response.on_done = lambda complete: self._finish(context)
+        return response
+
+    def _finish(self, context: RequestContext) -> None:
+        """Forgets a request; one that never ran costs its workspace nothing."""
+        self._active.discard(context)
+        if not context.charged:
+            return
+        if context.used is not None:
+            self.gate.refund(context.workspace, context.charged - context.used)
+        elif context.sent == 0:
+            self.gate.refund(context.workspace, context.charged)
 
     def _context(
         self, request: HttpRequest, caller: Caller, route: Route, index: FleetIndex
@@ -185,7 +290,61 @@
         return context
 
     def _on_settings(self, index: FleetIndex) -> None:
+        now = asyncio.get_running_loop().time()
         self.pool.apply(index)
+        self.keeper.reconfigure(now)
+        for link in self.peers.links():
+            link.send(0, self.feed.announcement())
+        for context in list(self._active):
+            digest = context.caller.digest
+            if digest is not None and index.workspace_of(digest) is None:
+                text = "the key was withdrawn"
+                withdrawn = Refusal(ErrorCode.KEY_WITHDRAWN, text, Ran.UNKNOWN)
+                context.cut_off(withdrawn, now)
+
+    def _rules_of(self, workspace: str) -> RateRules:
+        """Returns the limits of a workspace; an unknown one gets nothing."""
+        index = self.feed.current
+        if index is None or not index.has_workspace(workspace):
+            return RateRules(0.0, 0.0)
+        settings = index.workspace_settings(WorkspaceId(workspace))
+        return RateRules(settings.rate_tokens_per_s, settings.burst_tokens)
+
+    def _on_peer_message(self, link: Link, message: Message) -> None:
+        now = asyncio.get_running_loop().time()
+        if isinstance(message, GrantAsk):
+            self.keeper.settle(message.workspace, message.report, now)
+            if message.ask_id:
+                decision = self.keeper.ask(
+                    message.workspace, message.needed, message.wanted, now
+                )
+                link.send(0, GrantReply(message.ask_id, decision))
+        elif isinstance(message, GrantReply):
+            self.gate.on_reply(message)
+        elif isinstance(message, Claim):
+            link.send(0, self.keeper.on_claim(message))
+        elif isinstance(message, ClaimReply) and link.peer is not None:
+            self.keeper.on_claim_reply(message, link.peer.incarnation, now)
+        elif isinstance(message, (SettingsUpdate, SettingsWanted)):
+            self.feed.on_message(link, message)
+
+    async def _keep_peers(self) -> None:
+        """Links to a few peers and tells them the version of the settings."""
+        while True:
+            chosen = rendezvous_top(
+                self._instance.encode(), self._other_entries, PEER_LINKS
+            )
+            await asyncio.gather(
+                *(self._announce(self._other_entries[InstanceId(n)]) for n in chosen)
+            )
+            await asyncio.sleep(ANNOUNCE_S)
+
+    async def _announce(self, address: str) -> None:
+        try:
+            link = await self.peers.link_to(address)
+        except OSError:
+            return
+        link.send(0, self.feed.announcement())
 
     async def _follow_instances(self) -> None:
         while True:
@@ -196,4 +355,11 @@
             if records is not None:
                 leaving = frozenset(item.instance for item in records if item.leaving)
                 self.pool.note_leaving(leaving)
+                self._other_entries = {
+                    item.instance: item.address
+                    for item in records
+                    if item.role == ENTRY_ROLE
+                    and not item.leaving
+                    and item.instance != self._instance
+                }
             await asyncio.sleep(INSTANCES_POLL_S)
--- a/wasabimux/entry/feed.py
+++ b/wasabimux/entry/feed.py
@@ -1,4 +1,9 @@
-"""The settings in force at an entry: newest version wins, none reverts."""
+"""The settings in force at an entry: the newest version wins, none reverts.
+
+They come from the platform's store or, sooner or instead, from peers. A version is
+never replaced by an older one. An entry that knows of a newer version which it cannot
+get, or that reaches neither the store nor any peer, takes no new work.
+"""
 
 from __future__ import annotations
 
@@ -7,6 +12,8 @@
 from collections.abc import Callable
 
 from wasabimux.ids import SettingsVersion
+from wasabimux.link.link import Link
+from wasabimux.link.messages import Message, SettingsUpdate, SettingsWanted
 from wasabimux.ports import Store, StoreUnavailable
 from wasabimux.settings.check import check_fleet
 from wasabimux.settings.index import FleetIndex
@@ -14,12 +21,23 @@
 
 SETTINGS_KIND = "settings"
 SETTINGS_NAME = "fleet"
+
+#: Length of a watch. The store has answered when it ends, changed or not.
 WATCH_S = 20.0
 RETRY_S = 0.5
 
+#: Time between announcements of the version to peers.
+ANNOUNCE_S = 1.0
+
+#: Time without store and peers after which no new work is taken.
+ISOLATION_S = 3.0
+
+#: Time for which a newer version may be known but not in force.
+FETCH_S = 1.5
+
 
 class SettingsFeed:
-    """Follows the settings in the platform's store.
+    """Follows the settings in the store and at peers.
 
     Args:
         store: The platform's store.
@@ -31,9 +49,14 @@
         self, store: Store, on_change: Callable[[FleetIndex], None], timeline: Timeline
     ) -> None:
         self.current: FleetIndex | None = None
+        self._value = b""
         self._store = store
         self._on_change = on_change
         self._timeline = timeline
+        self._store_reached = False
+        self._last_contact_s = 0.0
+        self._newest_known = 0
+        self._behind_since_s: float | None = None
 
     async def run(self) -> None:
         """Follows the store until it is cancelled."""
@@ -42,8 +65,11 @@
             try:
                 changed = await self._store.watch(SETTINGS_KIND, after, WATCH_S)
             except StoreUnavailable:
+                self._store_reached = False
                 await asyncio.sleep(RETRY_S)
                 continue
+            self._store_reached = True
+            self._last_contact_s = asyncio.get_running_loop().time()
             for item in changed:
                 if item.name == SETTINGS_NAME:
                     self.offer(SettingsVersion(item.version), item.value)
@@ -66,6 +92,52 @@
                 self._timeline.record("settings_refused", finding=finding)
             return False
         self.current = FleetIndex(version, checked.ok)
+        self._value = value
         self._timeline.record("settings_in_force", version=version)
+        self.note_version(version)
         self._on_change(self.current)
         return True
+
+    def note_version(self, version: SettingsVersion) -> None:
+        """Notes that a version exists."""
+        self._newest_known = max(self._newest_known, version)
+        current = self.current.version if self.current else 0
+        if current >= self._newest_known:
+            self._behind_since_s = None
+        elif self._behind_since_s is None:
+            self._behind_since_s = asyncio.get_running_loop().time()
+
+    def announcement(self) -> SettingsUpdate:
+        """Returns what peers are told regularly."""
+        return SettingsUpdate(self.current.version if self.current else 0)
+
+    def on_message(self, link: Link, message: Message) -> None:
+        """Takes a message of a peer on settings."""
+        self._last_contact_s = asyncio.get_running_loop().time()
+        mine = self.current.version if self.current else 0
+        if isinstance(message, SettingsWanted):
+            if mine:
+                link.send(0, SettingsUpdate(mine, self._value))
+        elif isinstance(message, SettingsUpdate):
+            version = SettingsVersion(message.version)
+            self.note_version(version)
+            if message.value:
+                self.offer(version, message.value)
+            elif version > mine:
+                link.send(0, SettingsWanted())
+            elif version < mine:
+                link.send(0, self.announcement())
+
+    def may_serve(self, now: float, has_peers: bool) -> bool:
+        """Tells whether new work may be taken on the settings in force.
+
+        Args:
+            now: Present time in s.
+            has_peers: True if the platform lists other entries.
+        """
+        if self.current is None:
+            return False
+        if self._behind_since_s is not None and now - self._behind_since_s > FETCH_S:
+            return False
+        isolated = now - self._last_contact_s > ISOLATION_S
+        return self._store_reached or not has_peers or not isolated
--- a/wasabimux/entry/pool.py
+++ b/wasabimux/entry/pool.py
@@ -6,9 +6,9 @@
 from collections.abc import Awaitable, Callable
 
 from wasabimux.decisions.placement import Candidate, rendezvous_top
-from wasabimux.ids import InstanceId, UpstreamId
+from wasabimux.ids import InstanceId, SettingsVersion, UpstreamId
 from wasabimux.link.link import Link, LinkEvents, LinkTraffic
-from wasabimux.link.messages import Hello, LoadReport, Open, SettingsUpdate
+from wasabimux.link.messages import Hello, LoadReport, Message, Open, SettingsUpdate
 from wasabimux.link.stream import LinkLost, LinkStream
 from wasabimux.ports import Channel
 from wasabimux.settings.address import parse_address
@@ -55,6 +55,7 @@
         connect: Connects to an address.
         timeline: Records events.
         traffic: Byte counts of the process.
+        on_newer_settings: Called when the agent knows newer settings.
     """
 
     def __init__(
@@ -64,8 +65,10 @@
         connect: Connect,
         timeline: Timeline,
         traffic: LinkTraffic,
+        on_newer_settings: Callable[[SettingsVersion], None],
     ) -> None:
         self.upstream = upstream
+        self._on_newer_settings = on_newer_settings
         self.in_flight = 0
         self.leaving = False
         self._hello = hello
@@ -139,7 +142,7 @@
             await asyncio.sleep(wait_s)
 
     async def _use(self, channel: Channel) -> None:
-        events = LinkEvents(on_load=self._on_load)
+        events = LinkEvents(on_control=self._on_control)
         clock = self._timeline.clock
         with Link(channel, self._hello, clock, events, True, self._traffic) as link:
             link.start()
@@ -155,9 +158,12 @@
                 self._load = UNKNOWN_LOAD
         self._timeline.record("agent_lost", upstream=self.id)
 
-    def _on_load(self, load: LoadReport) -> None:
-        self._load = load
-        self._in_flight_at_report = self.in_flight
+    def _on_control(self, link: Link, message: Message) -> None:
+        if isinstance(message, LoadReport):
+            self._load = message
+            self._in_flight_at_report = self.in_flight
+        elif isinstance(message, SettingsUpdate):
+            self._on_newer_settings(SettingsVersion(message.version))
 
 
 class AgentPool:
@@ -170,6 +176,7 @@
         subset_size: Most agents of a group to link to.
         timeline: Records events.
         traffic: Byte counts of the process.
+        on_newer_settings: Called when an agent knows newer settings.
     """
 
     def __init__(
@@ -180,7 +187,9 @@
         subset_size: int,
         timeline: Timeline,
         traffic: LinkTraffic,
+        on_newer_settings: Callable[[SettingsVersion], None],
     ) -> None:
+        self._on_newer_settings = on_newer_settings
         self._instance = instance
         self._hello = Hello("entry", instance, incarnation)
         self._connect = connect
@@ -240,7 +249,12 @@
             if agent is not None:
                 agent.close()
             agent = PooledAgent(
-                upstream, self._hello, self._connect, self._timeline, self._traffic
+                upstream,
+                self._hello,
+                self._connect,
+                self._timeline,
+                self._traffic,
+                self._on_newer_settings,
             )
             self._agents_by_id[upstream_id] = agent
         return agent
--- /dev/null
+++ b/wasabimux/entry/rate_gate.py
@@ -0,0 +1,187 @@
+"""Charges requests against the share of their workspace."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from wasabimux.decisions.rate import GrantDecision, GrantOutcome, GrantPurse
+from wasabimux.entry.peers import PeerLinks
+from wasabimux.entry.rate_shards import (
+    Holder,
+    ShardKeeper,
+    read_shard,
+    shard_of,
+)
+from wasabimux.errors import ErrorCode, RefusedError, refused
+from wasabimux.link.messages import GrantAsk, GrantReply
+from wasabimux.ports import Store, StoreUnavailable
+
+ASK_TIMEOUT_S = 0.5
+RETRY_S = 0.1
+
+#: Longest wait of a request for a holder that can be reached.
+HOLDER_WAIT_S = 10.0
+
+#: Time between reports of what was spent or refunded without a further ask.
+REPORT_S = 0.25
+
+
+class RateGate:
+    """Asks the holders of shards for tokens on behalf of requests.
+
+    Args:
+        keeper: Shards that this entry holds itself.
+        peers: Links to other entries.
+        store: The platform's store, which knows the holders.
+        rng: Source of jitter.
+    """
+
+    def __init__(
+        self, keeper: ShardKeeper, peers: PeerLinks, store: Store, rng: random.Random
+    ) -> None:
+        self.asks = 0
+        self._keeper = keeper
+        self._peers = peers
+        self._store = store
+        self._rng = rng
+        self._purses_by_workspace: dict[str, GrantPurse] = {}
+        self._holder_by_shard: dict[int, Holder] = {}
+        self._waiting_by_ask: dict[int, asyncio.Future[GrantDecision]] = {}
+        self._next_ask = 1
+
+    async def charge(self, workspace: str, tokens: float, wait_until_s: float) -> None:
+        """Spends tokens of a workspace's share.
+
+        Args:
+            workspace: Workspace to charge.
+            tokens: The most that the request can use.
+            wait_until_s: Loop time until which a refusal may be waited out; a
+                time in the past for requests that are refused at once.
+
+        Raises:
+            RefusedError: The share does not allow it, or nobody can tell.
+        """
+        purse = self._purses_by_workspace.setdefault(workspace, GrantPurse())
+        give_up_s = _now() + HOLDER_WAIT_S
+        while True:
+            now = _now()
+            if purse.spend(tokens, now):
+                return
+            decision = await self._ask(workspace, purse, tokens)
+            if decision.outcome is GrantOutcome.GRANTED:
+                purse.add(decision.grant, decision.tokens, now)
+                continue
+            wait_s = self._wait_after(decision, tokens, wait_until_s, give_up_s)
+            await asyncio.sleep(wait_s + self._rng.uniform(0, RETRY_S))
+
+    def refund(self, workspace: str, tokens: float) -> None:
+        """Gives back what a request was charged but did not use.
+
+        Args:
+            workspace: Workspace that was charged.
+            tokens: What is left; negative if the request used more.
+        """
+        if tokens != 0:
+            purse = self._purses_by_workspace.setdefault(workspace, GrantPurse())
+            purse.refund(tokens)
+
+    async def run(self) -> None:
+        """Sends reports until it is cancelled."""
+        while True:
+            await asyncio.sleep(REPORT_S)
+            for workspace, purse in list(self._purses_by_workspace.items()):
+                if purse.has_report:
+                    await self._report(workspace, purse)
+                if purse.is_idle(_now()):
+                    del self._purses_by_workspace[workspace]
+
+    def on_reply(self, reply: GrantReply) -> None:
+        """Takes the answer of a holder."""
+        waiting = self._waiting_by_ask.get(reply.ask_id)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(reply.decision)
+
+    def _wait_after(
+        self,
+        decision: GrantDecision,
+        tokens: float,
+        wait_until_s: float,
+        give_up_s: float,
+    ) -> float:
+        """Returns the wait before the next ask, or refuses the request."""
+        now = _now()
+        retry_s = decision.retry_after_s
+        if decision.outcome is GrantOutcome.TOO_LARGE:
+            text = f"{tokens:.0f} tokens are more than the workspace's burst"
+            raise refused(ErrorCode.TOO_LARGE, text)
+        if decision.outcome is GrantOutcome.REFUSED:
+            if now + retry_s > wait_until_s:
+                text = "the workspace has used up its share"
+                raise refused(ErrorCode.RATE_LIMITED, text, retry_after_s=retry_s)
+            return retry_s
+        if now >= give_up_s:
+            raise _no_holder()
+        return max(retry_s, RETRY_S)
+
+    async def _ask(
+        self, workspace: str, purse: GrantPurse, tokens: float
+    ) -> GrantDecision:
+        now = _now()
+        self.asks += 1
+        wanted = purse.wanted(tokens, now)
+        shard = shard_of(workspace)
+        if shard in self._keeper.held:
+            self._keeper.settle(workspace, purse.take_report(), now)
+            return self._keeper.ask(workspace, tokens, wanted, now)
+        ask_id = self._next_ask
+        self._next_ask += 1
+        waiting: asyncio.Future[GrantDecision] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiting_by_ask[ask_id] = waiting
+        try:
+            async with asyncio.timeout(ASK_TIMEOUT_S):
+                link = await self._peers.link_to(await self._address_of(shard))
+                report = purse.take_report()
+                link.send(0, GrantAsk(ask_id, workspace, tokens, wanted, report))
+                decision = await waiting
+        except (OSError, TimeoutError, StoreUnavailable):
+            decision = GrantDecision(GrantOutcome.NOT_HOLDER)
+        finally:
+            del self._waiting_by_ask[ask_id]
+        if decision.outcome is GrantOutcome.NOT_HOLDER:
+            self._holder_by_shard.pop(shard, None)
+        return decision
+
+    async def _report(self, workspace: str, purse: GrantPurse) -> None:
+        shard = shard_of(workspace)
+        if shard in self._keeper.held:
+            self._keeper.settle(workspace, purse.take_report(), _now())
+            return
+        holder = self._holder_by_shard.get(shard)
+        if holder is None:
+            return
+        try:
+            link = await self._peers.link_to(holder.address)
+        except OSError:
+            return
+        link.send(0, GrantAsk(0, workspace, 0.0, 0.0, purse.take_report()))
+
+    async def _address_of(self, shard: int) -> str:
+        holder = self._holder_by_shard.get(shard)
+        if holder is None:
+            known = await read_shard(self._store, shard)
+            if known is None or known.record.holder is None:
+                raise OSError("the shard has no holder")
+            holder = known.record.holder
+            self._holder_by_shard[shard] = holder
+        return holder.address
+
+
+def _no_holder() -> RefusedError:
+    return refused(ErrorCode.OVERLOADED, "the workspace's share cannot be checked now")
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/wasabimux/link/codec.py
+++ b/wasabimux/link/codec.py
@@ -8,11 +8,16 @@
 
 import capnp
 
+from wasabimux.decisions.rate import GrantDecision, GrantOutcome, GrantReport, Spent
 from wasabimux.link.messages import (
     Cancel,
+    Claim,
+    ClaimReply,
     Credit,
     Data,
     End,
+    GrantAsk,
+    GrantReply,
     Head,
     Hello,
     Item,
@@ -23,6 +28,7 @@
     Operation,
     Ping,
     SettingsUpdate,
+    SettingsWanted,
     refusal_from_wire,
 )
 from wasabimux.ports import Headers
@@ -143,6 +149,7 @@
     settings = builder.init("settings")
     settings.version = message.version
     settings.value = message.value
+    settings.ageMs = min(message.age_ms, MS_MAX)
 
 
 def _encode_load(builder: Any, message: LoadReport) -> None:
@@ -161,6 +168,44 @@
     source.cachedTokens = message.cached_tokens
 
 
+def _encode_settings_wanted(builder: Any, message: SettingsWanted) -> None:
+    builder.settingsWanted = None
+
+
+def _encode_grant_ask(builder: Any, message: GrantAsk) -> None:
+    ask = builder.init("grantAsk")
+    ask.askId = message.ask_id
+    ask.workspace = message.workspace
+    ask.needed = message.needed
+    ask.wanted = message.wanted
+    ask.refunded = message.report.refunded
+    spent = message.report.spent
+    for target, (grant, tokens) in zip(ask.init("spent", len(spent)), spent):
+        target.grant = grant
+        target.tokens = tokens
+
+
+def _encode_grant_reply(builder: Any, message: GrantReply) -> None:
+    reply = builder.init("grantReply")
+    reply.askId = message.ask_id
+    reply.outcome = message.decision.outcome.value
+    reply.tokens = message.decision.tokens
+    reply.grant = message.decision.grant
+    reply.retryAfterMs = min(round(message.decision.retry_after_s * 1000), MS_MAX)
+
+
+def _encode_claim(builder: Any, message: Claim) -> None:
+    claim = builder.init("claim")
+    claim.shard = message.shard
+    claim.epoch = message.epoch
+
+
+def _encode_claim_reply(builder: Any, message: ClaimReply) -> None:
+    reply = builder.init("claimReply")
+    reply.shard = message.shard
+    reply.epoch = message.epoch
+
+
 _ENCODERS: dict[type, Callable[[Any, Any], None]] = {
     Hello: _encode_hello,
     Open: _encode_open,
@@ -173,6 +218,11 @@
     SettingsUpdate: _encode_settings,
     LoadReport: _encode_load,
     KvSource: _encode_kv_source,
+    SettingsWanted: _encode_settings_wanted,
+    GrantAsk: _encode_grant_ask,
+    GrantReply: _encode_grant_reply,
+    Claim: _encode_claim,
+    ClaimReply: _encode_claim_reply,
 }
 
 
@@ -225,7 +275,8 @@
 
 
 def _decode_settings(item: Any) -> SettingsUpdate:
-    return SettingsUpdate(item.settings.version, item.settings.value)
+    settings = item.settings
+    return SettingsUpdate(settings.version, settings.value, settings.ageMs)
 
 
 def _decode_load(item: Any) -> LoadReport:
@@ -240,6 +291,24 @@
     )
 
 
+def _decode_grant_ask(item: Any) -> GrantAsk:
+    ask = item.grantAsk
+    spent = [Spent(part.grant, part.tokens) for part in ask.spent]
+    report = GrantReport(spent, ask.refunded)
+    return GrantAsk(ask.askId, ask.workspace, ask.needed, ask.wanted, report)
+
+
+def _decode_grant_reply(item: Any) -> GrantReply:
+    reply = item.grantReply
+    decision = GrantDecision(
+        GrantOutcome(reply.outcome),
+        reply.tokens,
+        reply.grant,
+        reply.retryAfterMs / 1000,
+    )
+    return GrantReply(reply.askId, decision)
+
+
 _DECODERS: dict[str, Callable[[Any], Message]] = {
     "hello": _decode_hello,
     "open": _decode_open,
@@ -251,4 +320,9 @@
     "settings": _decode_settings,
     "load": _decode_load,
     "kvSource": _decode_kv_source,
+    "settingsWanted": lambda item: SettingsWanted(),
+    "grantAsk": _decode_grant_ask,
+    "grantReply": _decode_grant_reply,
+    "claim": lambda item: Claim(item.claim.shard, item.claim.epoch),
+    "claimReply": lambda item: ClaimReply(item.claimReply.shard, item.claimReply.epoch),
 }
--- a/wasabimux/link/link.py
+++ b/wasabimux/link/link.py
@@ -13,11 +13,9 @@
     Cancel,
     Hello,
     Item,
-    LoadReport,
     Message,
     Open,
     Ping,
-    SettingsUpdate,
 )
 from wasabimux.link.stream import LinkStream
 from wasabimux.ports import Channel
@@ -39,13 +37,11 @@
 
     Attributes:
         on_open: The peer opened a stream.
-        on_settings: The peer told its version of the settings.
-        on_load: The peer reported load.
+        on_control: The peer sent a message that belongs to no stream.
     """
 
-    on_open: Callable[[LinkStream, Open], None] | None = None
-    on_settings: Callable[[SettingsUpdate], None] | None = None
-    on_load: Callable[[LoadReport], None] | None = None
+    on_open: Callable[[Link, LinkStream, Open], None] | None = None
+    on_control: Callable[[Link, Message], None] | None = None
 
 
 class LinkTraffic:
@@ -202,10 +198,8 @@
                 return False
             self.peer = message
             self.ready.set()
-        elif isinstance(message, SettingsUpdate) and self._events.on_settings:
-            self._events.on_settings(message)
-        elif isinstance(message, LoadReport) and self._events.on_load:
-            self._events.on_load(message)
+        elif not isinstance(message, Ping) and self._events.on_control:
+            self._events.on_control(self, message)
         return True
 
     def _dispatch_to_stream(self, item: Item) -> bool:
@@ -217,7 +211,7 @@
                 return False  # the number belongs to this side
             stream = LinkStream(self, item.stream, initiated=False)
             self._streams_by_id[item.stream] = stream
-            self._events.on_open(stream, item.message)
+            self._events.on_open(self, stream, item.message)
             return True
         if stream is None:
             return True  # late item of a stream that this side has closed
--- a/wasabimux/link/messages.py
+++ b/wasabimux/link/messages.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import NamedTuple, Union
 
+from wasabimux.decisions.rate import GrantDecision, GrantReport
 from wasabimux.errors import ErrorCode, Ran, Refusal
 from wasabimux.ports import Headers
 
@@ -21,8 +22,6 @@
     RESERVE = "reserve"
     PREFILL = "prefill"
     CALL = "call"
-    GRANT = "grant"
-    FETCH = "fetch"
 
 
 class Hello(NamedTuple):
@@ -135,10 +134,60 @@
 
 
 class SettingsUpdate(NamedTuple):
-    """The sender's version of the settings and the part for the receiver."""
+    """The sender's version of the settings and the part for the receiver.
+
+    Attributes:
+        version: Version in force at the sender.
+        value: The settings, empty to announce the version only.
+        age_ms: Time since the version was proved the newest.
+    """
 
     version: int
-    value: bytes
+    value: bytes = b""
+    age_ms: int = 0
+
+
+class SettingsWanted(NamedTuple):
+    """Asks a peer for its settings."""
+
+
+class GrantAsk(NamedTuple):
+    """Asks the holder of a workspace's shard for tokens, and reports.
+
+    Attributes:
+        ask_id: Number that the reply repeats; 0 for a report without an ask.
+        workspace: Workspace concerned.
+        needed: Tokens without which the ask is refused.
+        wanted: Tokens that can be used within the hold time.
+        report: What was spent and refunded since the last ask.
+    """
+
+    ask_id: int
+    workspace: str
+    needed: float
+    wanted: float
+    report: GrantReport
+
+
+class GrantReply(NamedTuple):
+    """A holder's answer to an ask."""
+
+    ask_id: int
+    decision: GrantDecision
+
+
+class Claim(NamedTuple):
+    """Tells the former holder of a shard that the sender holds it now."""
+
+    shard: int
+    epoch: int
+
+
+class ClaimReply(NamedTuple):
+    """Confirms that the sender grants nothing in epochs before this one."""
+
+    shard: int
+    epoch: int
 
 
 class LoadReport(NamedTuple):
@@ -161,7 +210,12 @@
     Cancel,
     Ping,
     SettingsUpdate,
+    SettingsWanted,
     LoadReport,
+    GrantAsk,
+    GrantReply,
+    Claim,
+    ClaimReply,
 ]
 
 
--- a/wasabimux/link/wire.capnp
+++ b/wasabimux/link/wire.capnp
@@ -22,6 +22,11 @@
     settings @9 :Settings;
     load @10 :Load;
     kvSource @11 :KvSource;
+    grantAsk @12 :GrantAsk;
+    grantReply @13 :GrantReply;
+    settingsWanted @14 :Void;
+    claim @15 :Claim;
+    claimReply @16 :ClaimReply;
   }
 }
 
@@ -41,8 +46,6 @@
   reserve @0;             # decode slot, held for the life of the stream
   prefill @1;
   call @2;                # plain service
-  grant @3;               # rate tokens, asked of the holder of a shard
-  fetch @4;               # settings, asked of a peer
 }
 
 struct Open {
@@ -84,7 +87,8 @@
 
 struct Settings {
   version @0 :UInt64;
-  value @1 :Data;
+  value @1 :Data;         # empty to announce the version only
+  ageMs @2 :UInt32;       # time since the version was proved the newest
 }
 
 struct Load {
@@ -100,3 +104,35 @@
   promptTokens @2 :UInt32;
   cachedTokens @3 :UInt32;
 }
+
+struct Spent {
+  grant @0 :UInt64;
+  tokens @1 :Float64;
+}
+
+struct GrantAsk {
+  askId @0 :UInt32;       # 0 for a report without an ask
+  workspace @1 :Text;
+  needed @2 :Float64;
+  wanted @3 :Float64;
+  refunded @4 :Float64;
+  spent @5 :List(Spent);
+}
+
+struct GrantReply {
+  askId @0 :UInt32;
+  outcome @1 :Text;
+  tokens @2 :Float64;
+  grant @3 :UInt64;
+  retryAfterMs @4 :UInt32;
+}
+
+struct Claim {
+  shard @0 :UInt16;       # the sender is the shard's holder from this epoch on
+  epoch @1 :UInt64;
+}
+
+struct ClaimReply {
+  shard @0 :UInt16;
+  epoch @1 :UInt64;       # the sender grants nothing in earlier epochs any more
+}
--- a/wasabimux/runtime.py
+++ b/wasabimux/runtime.py
@@ -8,7 +8,7 @@
 import random
 import signal
 from collections.abc import AsyncGenerator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, closing
 from typing import Any, NamedTuple
 
 from aioprometheus.collectors import Registry
@@ -97,6 +97,7 @@
         settings.subset_size,
         timeline,
         rng,
+        settings.peers,
     )
     limits = HttpLimits(
         settings.max_body_bytes, settings.header_timeout_s, settings.body_timeout_s
@@ -118,10 +119,15 @@
     async def drain() -> bool:
         timeline.record("draining")
         drained = await callers.drain(DRAIN_TIMEOUT_S)
+        await entry.release()
         timeline.record("drained", complete=drained)
         return drained
 
-    with entry:
+    peer_tls = server_context(settings.tls) if settings.tls else None
+    peers = await listen_tcp(
+        *parse_address(settings.peers), on_channel=entry.peers.on_channel, tls=peer_tls
+    )
+    with entry, closing(peers):
         entry.start()
         async with callers, admin, _refreshing(metrics, entry.traffic):
             callers_address = await callers.listen(*parse_address(settings.callers))
@@ -232,6 +238,7 @@
         "failure_domain": settings.failure_domain,
         "incarnation": entry.incarnation,
         "settings_version": index.version if index else None,
+        "rate_shards": entry.keeper.held,
         "groups": groups,
     }
 
--- a/wasabimux/settings/index.py
+++ b/wasabimux/settings/index.py
@@ -128,6 +128,10 @@
             values["repeat"],
         )
 
+    def has_workspace(self, workspace: str) -> bool:
+        """Tells whether a workspace exists."""
+        return workspace in self._branch_by_workspace
+
     def workspace_settings(self, workspace: WorkspaceId) -> WorkspaceSettings:
         """Returns the settings in force for a workspace."""
         values = self._values(self._branch_by_workspace[workspace])
--- a/wasabimux/standins/laptop.py
+++ b/wasabimux/standins/laptop.py
@@ -8,11 +8,11 @@
 
 import json
 import os
-import signal
 import socket
 import subprocess
 import sys
 from pathlib import Path
+from signal import Signals
 from typing import Any, NamedTuple
 
 from wasabimux.settings.fleet import FleetSettings, GroupRole, Upstream
@@ -194,7 +194,7 @@
                 env=os.environ | {"PYTHONDONTWRITEBYTECODE": "1"},
             )
 
-    def signal(self, name: str, number: signal.Signals) -> None:
+    def signal(self, name: str, number: Signals) -> None:
         """Sends a signal to a process."""
         self._process_by_name[name].send_signal(number)
 
