Prove rate and burst under faults on a virtual clock

Ruled out: refusals of large requests. Change: an entry gives back what is left of an expired grant.

--- /dev/null
+++ b/tests/test_rate.py
@@ -0,0 +1,214 @@
+"""Rate and burst over all instances, under faults, on a virtual clock."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, LessThan
+
+from tests.oracles import Charge, overrun
+from wasabimux.decisions.rate import (
+    GRANT_HOLD_S,
+    GrantBucket,
+    GrantOutcome,
+    RateRules,
+    Spent,
+)
+from wasabimux.entry.rate_shards import shard_of
+from wasabimux.errors import ErrorCode, RefusedError
+from wasabimux.settings.fleet import FleetSettings
+from wasabimux.standins.virtual_fleet import VirtualFleet, run_virtual
+
+WORKSPACE = "grad-crew"
+RATE, BURST = 2_000.0, 40_000.0
+TOLERANCE_TOKENS = 1e-3
+
+Fault = Callable[["Load"], Awaitable[None]]
+
+
+class Load:
+    """Callers of one workspace at every entry, well above its rate."""
+
+    def __init__(self, fleet: VirtualFleet, seed: int) -> None:
+        self.fleet = fleet
+        self.charges: list[Charge] = []
+        self.refusals: dict[ErrorCode, int] = {}
+        self.offered = 0.0
+        self._rng = random.Random(seed)
+
+    async def run(self, duration_s: float, factor: float) -> None:
+        """Offers `factor` times the rate for a while, at random entries."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + duration_s
+        pending: set[asyncio.Task[None]] = set()
+        while loop.time() < end_s:
+            tokens = self._rng.choice([50, 200, 1_000, 4_000])
+            mean_s = 1_312.5 / (RATE * factor)
+            await asyncio.sleep(self._rng.expovariate(1 / mean_s))
+            entry = self._rng.choice(sorted(self.fleet.entries_by_name))
+            task = asyncio.ensure_future(self._charge(entry, tokens))
+            pending.add(task)
+            task.add_done_callback(pending.discard)
+        await asyncio.gather(*pending)
+
+    async def _charge(self, entry: str, tokens: float) -> None:
+        gate = self.fleet.entries_by_name[entry].gate
+        self.offered += tokens
+        try:
+            await gate.charge(WORKSPACE, tokens, 0.0)
+        except RefusedError as error:
+            code = error.refusal.code
+            self.refusals[code] = self.refusals.get(code, 0) + 1
+            return
+        now = asyncio.get_running_loop().time()
+        self.charges.append(Charge(now, tokens))
+
+    def holder(self) -> str:
+        """Names the entry that holds the workspace's shard."""
+        for name, entry in self.fleet.entries_by_name.items():
+            if shard_of(WORKSPACE) in entry.keeper.held:
+                return name
+        raise AssertionError("nobody holds the shard")
+
+
+async def no_fault(load: Load) -> None:
+    pass
+
+
+async def holder_killed(load: Load) -> None:
+    load.fleet.kill_entry(load.holder())
+
+
+async def holder_cut_from_store(load: Load) -> None:
+    load.fleet.stores_by_name[load.holder()].cut = True
+
+
+async def holder_parted_from_all(load: Load) -> None:
+    holder = load.holder()
+    load.fleet.stores_by_name[holder].cut = True
+    for name in load.fleet.entries_by_name:
+        if name != holder:
+            load.fleet.network.cut(holder, name)
+
+
+async def store_down(load: Load) -> None:
+    load.fleet.platform.set_down(True)
+
+
+async def answers_lost(load: Load) -> None:
+    load.fleet.platform.faults.lose_answers = True
+    await asyncio.sleep(10)
+    load.fleet.platform.faults.lose_answers = False
+
+
+async def messages_late(load: Load) -> None:
+    load.fleet.network.slow(load.holder(), 2.5)
+    await asyncio.sleep(5)
+    load.fleet.network.heal()
+
+
+async def entries_join(load: Load) -> None:
+    for number in range(4, 9):
+        load.fleet.start_entry(f"entry-{number}")
+        await asyncio.sleep(1)
+
+
+async def holder_killed_while_store_down(load: Load) -> None:
+    load.fleet.platform.set_down(True)
+    await asyncio.sleep(7)
+    load.fleet.kill_entry(load.holder())
+    await asyncio.sleep(5)
+    load.fleet.platform.set_down(False)
+
+
+async def orderly_release(load: Load) -> None:
+    holder = load.holder()
+    await load.fleet.entries_by_name[holder].release()
+
+
+FAULTS = [
+    no_fault,
+    holder_killed,
+    holder_cut_from_store,
+    holder_parted_from_all,
+    store_down,
+    answers_lost,
+    messages_late,
+    entries_join,
+    holder_killed_while_store_down,
+    orderly_release,
+]
+
+
+async def _load_with_fault(
+    settings: FleetSettings, fault: Fault, factor: float, seed: int
+) -> Load:
+    async with VirtualFleet(settings, 3, seed=seed) as fleet:
+        await fleet.until_ready()
+        await asyncio.sleep(8)
+        load = Load(fleet, seed)
+        loading = asyncio.ensure_future(load.run(60, factor))
+        await asyncio.sleep(15)
+        await fault(load)
+        await loading
+        return load
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_window_exceeds_rate_and_burst(
+    brazos: FleetSettings, fault: Fault, seed: int
+) -> None:
+    load = run_virtual(_load_with_fault(brazos, fault, 4.0, seed))
+    assert_that(len(load.charges), GreaterThan(50))
+    worst = overrun(load.charges, RATE, BURST)
+    assert_that(worst, LessThan(TOLERANCE_TOKENS))
+
+
+@pytest.mark.parametrize("fault", [no_fault, entries_join, orderly_release])
+def test_nothing_within_rate_is_refused(brazos: FleetSettings, fault: Fault) -> None:
+    load = run_virtual(_load_with_fault(brazos, fault, 0.6, seed=3))
+    assert_that(load.refusals, Equals({}))
+
+
+def test_the_share_can_be_used_up(brazos: FleetSettings) -> None:
+    load = run_virtual(_load_with_fault(brazos, no_fault, 4.0, seed=4))
+    used = sum(charge.tokens for charge in load.charges)
+    assert_that(used / (BURST + RATE * 60), GreaterThan(0.95))
+
+
+def test_work_goes_on_at_the_reserved_share_while_the_store_is_down(
+    brazos: FleetSettings,
+) -> None:
+    load = run_virtual(_load_with_fault(brazos, store_down, 0.6, seed=5))
+    late = [charge for charge in load.charges if charge.time_s > 45]
+    assert_that(len(late), GreaterThan(10))
+    assert_that(load.refusals, Equals({}))
+
+
+def test_reports_after_the_hold_time_change_nothing() -> None:
+    bucket = GrantBucket(RateRules(100.0, 1_000.0), 1_000.0, 0.0)
+    first = bucket.ask(1, 600, 600, 0.0)
+    bucket.ask(2, 400, 400, 0.5)
+    late = GRANT_HOLD_S + 0.1
+    bucket.settle([Spent(first.grant, 600)], 0.0, late)
+    # Grant 2 is outstanding until 1.5 s, so 600 tokens is the most there can be.
+    assert_that(bucket.level(late), LessThan(600.1))
+
+
+def test_a_request_above_the_burst_is_refused_for_good() -> None:
+    bucket = GrantBucket(RateRules(100.0, 1_000.0), 1_000.0, 0.0)
+    decision = bucket.ask(1, 1_001, 1_001, 0.0)
+    assert_that(decision.outcome, Equals(GrantOutcome.TOO_LARGE))
+
+
+def test_a_lowered_limit_holds_at_once(brazos_document: dict[str, Any]) -> None:
+    bucket = GrantBucket(RateRules(100.0, 1_000.0), 0.0, 0.0)
+    bucket.change_rules(RateRules(10.0, 50.0), 5.0)
+    assert_that(bucket.level(5.0), Equals(50.0))
+    assert_that(bucket.level(6.0), Equals(50.0))
--- a/wasabimux/agent/agent.py
+++ b/wasabimux/agent/agent.py
@@ -41,6 +41,9 @@
     async def serve(self, stream: LinkStream, message: Open) -> None:
         """Serves one stream. Raises RefusedError."""
 
+    def kill(self) -> None:
+        """Ends all work at once, as the death of the process would."""
+
     @property
     def unfinished(self) -> int:
         """Work that goes on after its stream has ended."""
@@ -79,6 +82,12 @@
             text = f"an engine does not {message.operation.value}"
             raise RefusedError(Refusal(ErrorCode.BAD_REQUEST, text))
 
+    def kill(self) -> None:
+        """Ends all work at once, as the death of the process would."""
+        if self._poll is not None:
+            self._poll.cancel()
+        self._reaper.kill()
+
     async def _poll_cold(self) -> None:
         while True:
             try:
@@ -113,6 +122,10 @@
     async def start(self) -> None:
         """Does nothing: a plain service holds nothing for earlier calls."""
 
+    def kill(self) -> None:
+        """Ends all work at once, as the death of the process would."""
+        self._worker.kill()
+
     async def serve(self, stream: LinkStream, message: Open) -> None:
         """Serves one stream."""
         if message.operation is not Operation.CALL:
@@ -202,6 +215,13 @@
         for link in list(self._links):
             link.close()
 
+    def kill(self) -> None:
+        """Ends all work at once, as the death of the process would."""
+        for task in list(self._tasks):
+            task.cancel()
+        self._backend.kill()
+        self.close()
+
     def _on_control(self, link: Link, message: Message) -> None:
         if isinstance(message, SettingsUpdate):
             self._on_settings(link, message)
--- a/wasabimux/agent/calls.py
+++ b/wasabimux/agent/calls.py
@@ -69,6 +69,11 @@
         """Calls that must not run twice and have not ended."""
         return len(self._running_by_id)
 
+    def kill(self) -> None:
+        """Ends all calls at once, as the death of the process would."""
+        for task in self._running_by_id.values():
+            task.cancel()
+
     async def call(self, stream: LinkStream, message: Open) -> None:
         """Runs, joins or replays a call.
 
--- a/wasabimux/agent/completions.py
+++ b/wasabimux/agent/completions.py
@@ -76,7 +76,7 @@
                 consumed = await _ended_well(stream)
             finally:
                 if not consumed:
-                    await asyncio.shield(self._reaper.cancel(run))
+                    await self._reaper.cancel(run)
 
     async def reserve(self, stream: LinkStream, message: Open) -> None:
         """Grants a slot, imports the KV cache named on the stream, and decodes.
@@ -97,7 +97,7 @@
                 finished = True
             finally:
                 if not finished:
-                    await asyncio.shield(self._reaper.cancel(run))
+                    await self._reaper.cancel(run)
         self._capacity.on_success(_now())
         stream.send_end(End(None, usage.prompt_tokens, usage.output_tokens))
 
--- a/wasabimux/agent/reaper.py
+++ b/wasabimux/agent/reaper.py
@@ -25,9 +25,24 @@
         self._engine = engine
         self.cancels = 0
         self.cancels_retried = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def kill(self) -> None:
+        """Gives up, as the death of the process would."""
+        for task in list(self._tasks):
+            task.cancel()
 
     async def cancel(self, run: str) -> None:
-        """Returns once the engine holds no memory for a run."""
+        """Returns once the engine holds no memory for a run.
+
+        The cancel goes on although the caller of this method is cancelled.
+        """
+        task = asyncio.ensure_future(self._cancel(run))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        await asyncio.shield(task)
+
+    async def _cancel(self, run: str) -> None:
         wait_s = FIRST_RETRY_S
         while True:
             self.cancels += 1
--- a/wasabimux/decisions/rate.py
+++ b/wasabimux/decisions/rate.py
@@ -353,16 +353,15 @@
         self._refunded = 0.0
         self._recent = (0.0, 0.0)
 
-    @property
-    def has_report(self) -> bool:
-        """True if something was spent or refunded since the last report."""
+    def has_report(self, now: float) -> bool:
+        """Tells if something was spent or refunded since the last report."""
+        self._give_back_expired(now)
         return bool(self._spent) or self._refunded != 0
 
     def is_idle(self, now: float) -> bool:
         """True if nothing is held and nothing was spent lately."""
-        held = any(grant.expires_s > now for grant in self._grants)
         recent = now - self._recent[1] <= IDLE_AFTER_S
-        return not held and not recent and not self.has_report
+        return not self._grants and not recent and not self.has_report(now)
 
     def add(self, number: int, tokens: float, asked_s: float) -> None:
         """Adds a grant; its hold time counts from when it was asked for."""
@@ -374,7 +373,7 @@
 
     def spend(self, tokens: float, now: float) -> bool:
         """Spends tokens; returns False, and spends none, if there are too few."""
-        self._grants = deque(item for item in self._grants if item.expires_s > now)
+        self._give_back_expired(now)
         held = sum(grant.tokens for grant in self._grants)
         if held + EPSILON_TOKENS < tokens:
             return False
@@ -397,13 +396,19 @@
             return needed
         return needed + used / 4
 
-    def take_report(self) -> GrantReport:
+    def take_report(self, now: float) -> GrantReport:
         """Returns what was spent and refunded since the last report."""
+        self._give_back_expired(now)
         report = GrantReport(self._spent, self._refunded)
         self._spent = []
         self._refunded = 0.0
         return report
 
+    def _give_back_expired(self, now: float) -> None:
+        """Refunds what is left of grants that may not be spent any more."""
+        while self._grants and self._grants[0].expires_s <= now:
+            self._refunded += self._grants.popleft().tokens
+
     def _note_use(self, tokens: float, now: float) -> None:
         used, since_s = self._recent
         if now - since_s > GRANT_HOLD_S:
--- a/wasabimux/entry/rate_gate.py
+++ b/wasabimux/entry/rate_gate.py
@@ -91,7 +91,7 @@
         while True:
             await asyncio.sleep(REPORT_S)
             for workspace, purse in list(self._purses_by_workspace.items()):
-                if purse.has_report:
+                if purse.has_report(_now()):
                     await self._report(workspace, purse)
                 if purse.is_idle(_now()):
                     del self._purses_by_workspace[workspace]
@@ -132,7 +132,7 @@
         wanted = purse.wanted(tokens, now)
         shard = shard_of(workspace)
         if shard in self._keeper.held:
-            self._keeper.settle(workspace, purse.take_report(), now)
+            self._keeper.settle(workspace, purse.take_report(_now()), now)
             return self._keeper.ask(workspace, tokens, wanted, now)
         ask_id = self._next_ask
         self._next_ask += 1
@@ -143,7 +143,7 @@
         try:
             async with asyncio.timeout(ASK_TIMEOUT_S):
                 link = await self._peers.link_to(await self._address_of(shard))
-                report = purse.take_report()
+                report = purse.take_report(_now())
                 link.send(0, GrantAsk(ask_id, workspace, tokens, wanted, report))
                 decision = await waiting
         except (OSError, TimeoutError, StoreUnavailable):
@@ -157,7 +157,7 @@
     async def _report(self, workspace: str, purse: GrantPurse) -> None:
         shard = shard_of(workspace)
         if shard in self._keeper.held:
-            self._keeper.settle(workspace, purse.take_report(), _now())
+            self._keeper.settle(workspace, purse.take_report(_now()), _now())
             return
         holder = self._holder_by_shard.get(shard)
         if holder is None:
@@ -166,7 +166,7 @@
             link = await self._peers.link_to(holder.address)
         except OSError:
             return
-        link.send(0, GrantAsk(0, workspace, 0.0, 0.0, purse.take_report()))
+        link.send(0, GrantAsk(0, workspace, 0.0, 0.0, purse.take_report(_now())))
 
     async def _address_of(self, shard: int) -> str:
         holder = self._holder_by_shard.get(shard)
--- a/wasabimux/entry/rate_shards.py
+++ b/wasabimux/entry/rate_shards.py
@@ -37,6 +37,9 @@
 
 TICK_S = 0.5
 RENEW_S = 2.0
+
+#: Time between two looks of a candidate at a shard that another entry holds.
+READ_S = 1.0
 LEASE_S = 6.0
 
 #: Longest time for which a holder goes on after its lease has lapsed.
@@ -157,6 +160,7 @@
         self._timeline = timeline
         self._held_by_shard: dict[int, _Held] = {}
         self._watched_by_shard: dict[int, _Watched] = {}
+        self._next_read_s = [0.0] * SHARDS
         self._releasing = False
 
     @property
@@ -285,6 +289,9 @@
         ranked = self._ranked(shard)
         if self._releasing or self._instance not in ranked:
             return
+        if _now() < self._next_read_s[shard]:
+            return
+        self._next_read_s[shard] = _now() + READ_S
         rank = ranked.index(self._instance)
         known = await read_shard(self._store, shard)
         now = _now()
--- /dev/null
+++ b/wasabimux/standins/virtual_fleet.py
@@ -0,0 +1,485 @@
+"""A whole fleet on one virtual clock, over an in-memory network with faults.
+
+Entries, agents, links and decisions are the real code; only the network, the
+platform and the upstreams are stand-ins. Nothing depends on real time, so a run
+repeats exactly from its seed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncGenerator, AsyncIterator, Coroutine
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+import looptime
+
+from wasabimux.adapters.http_server import HttpRequest, HttpResponse
+from wasabimux.agent.agent import Agent, EngineBackend, ServiceBackend
+from wasabimux.agent.capacity import Capacity
+from wasabimux.entry.entry import ENTRY_ROLE, Entry
+from wasabimux.entry.feed import SETTINGS_KIND, SETTINGS_NAME
+from wasabimux.ids import InstanceId
+from wasabimux.link.channels import MemoryChannel
+from wasabimux.ports import (
+    Channel,
+    Headers,
+    InstanceRecord,
+    PlainAnswer,
+    PlainCall,
+    StoredObject,
+    StoreUnavailable,
+    UpstreamLost,
+)
+from wasabimux.settings.address import parse_address
+from wasabimux.settings.fleet import FleetSettings, GroupRole
+from wasabimux.standins.engine import EngineModel, EngineParameters
+from wasabimux.standins.platform import MemoryPlatform
+from wasabimux.standins.service import PlainService
+from wasabimux.timeline import Timeline
+
+Outcome = TypeVar("Outcome")
+
+NETWORK_DELAY_S = 0.0005
+
+
+def run_virtual(work: Coroutine[Any, Any, Outcome]) -> Outcome:
+    """Runs a coroutine on a loop whose time passes only while all sleep."""
+    loop = looptime.new_event_loop()
+    try:
+        return loop.run_until_complete(work)
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
+
+
+class Network:
+    """Carries frames between named processes, in order, with a delay.
+
+    Args:
+        delay_s: Time that a frame takes.
+    """
+
+    def __init__(self, delay_s: float = NETWORK_DELAY_S) -> None:
+        self.delay_s = delay_s
+        self.frames = 0
+        self._accept_by_address: dict[str, Any] = {}
+        self._name_by_address: dict[str, str] = {}
+        self._cuts: set[frozenset[str]] = set()
+        self._slow_s_by_name: dict[str, float] = {}
+        self._ends: list[tuple[str, str, MemoryChannel]] = []
+
+    def listen(self, name: str, address: str, accept: Any) -> None:
+        """Lets a process accept connections at an address."""
+        self._accept_by_address[address] = accept
+        self._name_by_address[address] = name
+
+    def connector(self, name: str) -> Any:
+        """Returns what a process uses to connect."""
+
+        async def connect(host: str, port: int) -> Channel:
+            return await self._connect(name, f"{host}:{port}")
+
+        return connect
+
+    def cut(self, first: str, second: str) -> None:
+        """Parts two processes; their connections are lost."""
+        self._cuts.add(frozenset((first, second)))
+        self._close_where(lambda pair: pair == frozenset((first, second)))
+
+    def heal(self) -> None:
+        """Ends all cuts and slowness."""
+        self._cuts.clear()
+        self._slow_s_by_name.clear()
+
+    def slow(self, name: str, delay_s: float) -> None:
+        """Delays all frames to and from a process."""
+        self._slow_s_by_name[name] = delay_s
+
+    def reset(self, name: str) -> None:
+        """Loses all connections of a process."""
+        self._close_where(lambda pair: name in pair)
+
+    def remove(self, name: str) -> None:
+        """Ends a process: its connections are lost and none are accepted."""
+        for address in [a for a, n in self._name_by_address.items() if n == name]:
+            del self._accept_by_address[address]
+            del self._name_by_address[address]
+        self.reset(name)
+
+    async def _connect(self, name: str, address: str) -> Channel:
+        await asyncio.sleep(self.delay_s * 2)
+        if address not in self._accept_by_address:
+            raise ConnectionRefusedError(address)
+        peer = self._name_by_address[address]
+        if frozenset((name, peer)) in self._cuts:
+            raise OSError("unreachable")
+        lines = [_Line(self, name, peer), _Line(self, peer, name)]
+        near, far = MemoryChannel(lines[0].carry), MemoryChannel(lines[1].carry)
+        near.peer, far.peer = far, near
+        self._ends = [end for end in self._ends if not end[2].closed]
+        self._ends.append((name, peer, near))
+        self._accept_by_address[address](far)
+        return near
+
+    def delay_between(self, sender: str, receiver: str) -> float:
+        """Returns the delay of a frame sent now."""
+        slow_s = self._slow_s_by_name
+        return self.delay_s + max(slow_s.get(sender, 0.0), slow_s.get(receiver, 0.0))
+
+    def _close_where(self, matches: Any) -> None:
+        for first, second, channel in self._ends:
+            if matches(frozenset((first, second))):
+                channel.close()
+
+
+class _Line:
+    """One direction of a connection."""
+
+    def __init__(self, network: Network, sender: str, receiver: str) -> None:
+        self._network = network
+        self._sender = sender
+        self._receiver = receiver
+        self._last_arrival_s = 0.0
+
+    async def carry(self, end: MemoryChannel, frame: bytes) -> None:
+        """Delivers a frame after the delay, never before an earlier one."""
+        loop = asyncio.get_running_loop()
+        delay_s = self._network.delay_between(self._sender, self._receiver)
+        self._last_arrival_s = max(loop.time() + delay_s, self._last_arrival_s)
+        self._network.frames += 1
+        assert end.peer is not None
+        loop.call_at(self._last_arrival_s, _arrive, end.peer, frame)
+
+
+def _arrive(end: MemoryChannel, frame: bytes) -> None:
+    if not end.closed:
+        end.incoming.put_nowait(frame)
+
+
+class PartableStore:
+    """One process's way to the platform, which can be cut.
+
+    Args:
+        platform: The platform.
+    """
+
+    def __init__(self, platform: MemoryPlatform) -> None:
+        self.cut = False
+        self._platform = platform
+
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        """Reads an object."""
+        self._check()
+        return await self._platform.get(kind, name)
+
+    async def put(self, kind: str, name: str, value: bytes, expected: int) -> int:
+        """Writes an object."""
+        self._check()
+        return await self._platform.put(kind, name, value, expected)
+
+    async def watch(self, kind: str, after: int, wait_s: float) -> list[StoredObject]:
+        """Waits for changed objects; a cut ends the wait."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + wait_s
+        while True:
+            self._check()
+            part_s = max(0.0, min(0.25, deadline - loop.time()))
+            found = await self._platform.watch(kind, after, part_s)
+            self._check()
+            if found or loop.time() >= deadline:
+                return found
+
+    async def instances(self) -> list[InstanceRecord]:
+        """Returns the list of instances."""
+        self._check()
+        return await self._platform.instances()
+
+    def _check(self) -> None:
+        if self.cut:
+            raise StoreUnavailable("cut off")
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryAnswer:
+    """The answer of a plain service in memory."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """Yields the body."""
+        yield self.body
+
+
+class MemoryService:
+    """The PlainUpstream port on a plain service in memory.
+
+    Args:
+        service: The service.
+    """
+
+    def __init__(self, service: PlainService) -> None:
+        self._service = service
+
+    @asynccontextmanager
+    async def call(self, call: PlainCall) -> AsyncGenerator[PlainAnswer, None]:
+        """Sends a call."""
+        request = _request(call.method, call.target, call.headers, call.body)
+        try:
+            response = await self._service.handle(request)
+        except OSError as error:
+            raise UpstreamLost(str(error), sent=True) from error
+        assert isinstance(response.body, bytes)
+        yield MemoryAnswer(response.status, response.headers, response.body)
+
+
+@dataclass(slots=True)
+class VirtualAnswer:
+    """What a caller got.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers.
+        body: Body as far as it came.
+        complete: True if the answer came to its end.
+        piece_times_s: Loop times at which pieces of the body came.
+    """
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes = b""
+    complete: bool = False
+    piece_times_s: list[float] = field(default_factory=list)
+
+
+class VirtualFleet:
+    """A fleet on a virtual clock; an async context manager.
+
+    Args:
+        fleet: Settings of the fleet.
+        entries: Number of entries.
+        parameters: Capacities of the engines.
+        seed: Seed of all random choices.
+    """
+
+    def __init__(
+        self,
+        fleet: FleetSettings,
+        entries: int = 2,
+        parameters: EngineParameters = EngineParameters(),
+        seed: int = 1,
+    ) -> None:
+        self.network = Network()
+        self.platform = MemoryPlatform()
+        self.settings = fleet
+        self.entries_by_name: dict[str, Entry] = {}
+        self.stores_by_name: dict[str, PartableStore] = {}
+        self.agents_by_id: dict[str, Agent] = {}
+        self.engines_by_id: dict[str, EngineModel] = {}
+        self.services_by_id: dict[str, PlainService] = {}
+        self.timelines: list[Timeline] = []
+        self._parameters = parameters
+        self._entry_count = entries
+        self._rng = random.Random(seed)
+        self._engine_by_address: dict[str, EngineModel] = {}
+        self._tasks_by_entry: dict[str, set[asyncio.Task[Any]]] = {}
+        self._role_by_group = {group.id: group.role for group in fleet.groups}
+        self._settings_version = 0
+        self._next_port = 20_000
+
+    async def __aenter__(self) -> VirtualFleet:
+        await self.apply(self.settings)
+        for upstream in self.settings.upstreams:
+            self._add_upstream(upstream.id)
+            await self.start_agent(upstream.id)
+        for number in range(1, self._entry_count + 1):
+            self.start_entry(f"entry-{number}")
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        for name in list(self.entries_by_name):
+            self.kill_entry(name)
+        for upstream_id in list(self.agents_by_id):
+            self.kill_agent(upstream_id)
+
+    async def apply(self, settings: FleetSettings) -> None:
+        """Writes settings to the platform."""
+        self.settings = settings
+        value = settings.model_dump_json().encode()
+        self._settings_version = await self.platform.put(
+            SETTINGS_KIND, SETTINGS_NAME, value, self._settings_version
+        )
+
+    async def until_ready(self) -> None:
+        """Waits until every entry can serve."""
+        while not all(self._is_ready(item) for item in self.entries_by_name.values()):
+            await asyncio.sleep(0.05)
+
+    def start_entry(self, name: str) -> Entry:
+        """Starts an entry and lists it at the platform."""
+        store = PartableStore(self.platform)
+        timeline = self._timeline(name)
+        address = f"10.0.0.1:{self._next_port}"
+        self._next_port += 1
+        rng = random.Random(self._rng.random())
+        entry = Entry(
+            InstanceId(name),
+            store,
+            self.network.connector(name),
+            16,
+            timeline,
+            rng,
+            address,
+        )
+        self.network.listen(name, address, entry.peers.on_channel)
+        self.entries_by_name[name] = entry
+        self.stores_by_name[name] = store
+        self._tasks_by_entry[name] = set()
+        record = InstanceRecord(InstanceId(name), ENTRY_ROLE, address, False)
+        self.platform.set_instance(record)
+        entry.start()
+        return entry
+
+    def kill_entry(self, name: str) -> None:
+        """Ends an entry at once, with all requests in it."""
+        entry = self.entries_by_name.pop(name)
+        self.network.remove(name)
+        for task in self._tasks_by_entry.pop(name):
+            task.cancel()
+        entry.__exit__()
+
+    async def start_agent(self, upstream_id: str) -> Agent:
+        """Starts the agent of an upstream."""
+        timeline = self._timeline(f"agent-{upstream_id}")
+        capacity = Capacity()
+        backend: EngineBackend | ServiceBackend
+        if upstream_id in self.engines_by_id:
+            engine = self.engines_by_id[upstream_id]
+            backend = EngineBackend(engine, capacity, timeline)
+        else:
+            service = MemoryService(self.services_by_id[upstream_id])
+            backend = ServiceBackend(service, capacity, timeline)
+        agent = Agent(InstanceId(upstream_id), capacity, backend, timeline)
+        upstream = next(u for u in self.settings.upstreams if u.id == upstream_id)
+        self.agents_by_id[upstream_id] = agent
+        self.network.listen(upstream_id, upstream.agent, agent.on_channel)
+        starting = asyncio.ensure_future(agent.start())
+        starting.add_done_callback(lambda task: task.cancelled() or task.exception())
+        return agent
+
+    def kill_agent(self, upstream_id: str) -> None:
+        """Ends an agent at once; its engine goes on by itself."""
+        agent = self.agents_by_id.pop(upstream_id)
+        self.network.remove(upstream_id)
+        agent.kill()
+
+    async def request(
+        self,
+        entry: str,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes = b"",
+        read_pieces: int | None = None,
+    ) -> VirtualAnswer | None:
+        """Sends a request as a caller.
+
+        Args:
+            entry: Entry that the balancer chose.
+            method: HTTP method.
+            target: HTTP target.
+            headers: Headers.
+            body: Whole body.
+            read_pieces: Pieces after which the caller leaves, None for never.
+
+        Returns:
+            What the caller got, None if the entry died before any answer.
+        """
+        work = self._request(entry, method, target, headers, body, read_pieces)
+        task = asyncio.ensure_future(work)
+        self._tasks_by_entry[entry].add(task)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if task.cancelled() and entry not in self.entries_by_name:
+                return None
+            raise
+        finally:
+            self._tasks_by_entry.get(entry, set()).discard(task)
+
+    async def _request(
+        self,
+        entry: str,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        read_pieces: int | None,
+    ) -> VirtualAnswer:
+        request = _request(method, target, headers, body)
+        response = await self.entries_by_name[entry].handle(request)
+        answer = VirtualAnswer(response.status, dict(response.headers))
+        try:
+            await _read(response, answer, read_pieces)
+        except Exception:
+            pass  # the connection would be cut here
+        finally:
+            if response.on_done is not None:
+                response.on_done(answer.complete)
+        return answer
+
+    def _add_upstream(self, upstream_id: str) -> None:
+        upstream = next(u for u in self.settings.upstreams if u.id == upstream_id)
+        if self._role_by_group[upstream.group] is GroupRole.SERVICE:
+            self.services_by_id[upstream_id] = PlainService()
+            return
+        host, port = parse_address(upstream.agent)
+        address = f"{host}:{port + 10_000}"
+        engine = EngineModel(address, self._parameters, self._fetch_kv)
+        self.engines_by_id[upstream_id] = engine
+        self._engine_by_address[address] = engine
+
+    async def _fetch_kv(self, source: str, handle: str) -> int:
+        return await self._engine_by_address[source].export(handle)
+
+    def _is_ready(self, entry: Entry) -> bool:
+        groups = [group.id for group in self.settings.groups]
+        return all(entry.pool.usable(group) for group in groups)
+
+    def _timeline(self, name: str) -> Timeline:
+        timeline = Timeline(name)
+        self.timelines.append(timeline)
+        return timeline
+
+
+async def _read(
+    response: HttpResponse, answer: VirtualAnswer, read_pieces: int | None
+) -> None:
+    if isinstance(response.body, bytes):
+        answer.body = response.body
+        answer.complete = True
+        return
+    loop = asyncio.get_running_loop()
+    try:
+        async for piece in response.body:
+            answer.body += piece
+            answer.piece_times_s.append(loop.time())
+            if read_pieces is not None and len(answer.piece_times_s) >= read_pieces:
+                return
+        answer.complete = True
+    finally:
+        await response.body.aclose()
+
+
+def _request(method: str, target: str, headers: Headers, body: bytes) -> HttpRequest:
+    async def read_body() -> bytes:
+        return body
+
+    now = asyncio.get_running_loop().time()
+    return HttpRequest(method, target, headers, now, read_body)
