Mend a wait that never ended and holders unknown without the store

An entry cut off from the store could not find the holders of shards and answered 503. Ruled out: slowness of the engine model; a missing settings version, which the entry had from its peers.

Change: one time limit around the whole wait; entries ask peers who holds a shard. The engine stand-in counts concurrency with the request that begins.

--- a/wasabimux/agent/capacity.py
+++ b/wasabimux/agent/capacity.py
@@ -189,21 +189,25 @@
         Raises:
             RefusedError: The upstream could not bear it in time.
         """
-        deadline_s = _now() + budget_s
-        while not self._can_bear_more():
-            remaining_s = deadline_s - _now()
-            if remaining_s <= 0:
-                text = "the upstream cannot bear more now"
-                raise refused(ErrorCode.OVERLOADED, text, Ran.NO)
-            self._may_work.clear()
-            try:
-                async with asyncio.timeout(min(remaining_s, RECHECK_S)):
-                    await self._may_work.wait()
-            except TimeoutError:
-                continue
+        try:
+            async with asyncio.timeout(budget_s):
+                while not self._can_bear_more():
+                    await self._wait_for_change()
+        except TimeoutError:
+            text = "the upstream cannot bear more now"
+            raise refused(ErrorCode.OVERLOADED, text, Ran.NO) from None
         self.working += 1
         return Work(self)
 
+    async def _wait_for_change(self) -> None:
+        """Waits until the upstream may be able to bear more."""
+        self._may_work.clear()
+        try:
+            async with asyncio.timeout(RECHECK_S):
+                await self._may_work.wait()
+        except TimeoutError:
+            return
+
     def end_work(self) -> None:
         """Notes that a request no longer makes the upstream work."""
         self.working -= 1
--- a/wasabimux/entry/entry.py
+++ b/wasabimux/entry/entry.py
@@ -52,6 +52,8 @@
     GrantAsk,
     GrantReply,
     Hello,
+    HolderHint,
+    HolderWanted,
     Message,
     SettingsUpdate,
     SettingsWanted,
@@ -366,6 +368,12 @@
                 link.send(0, GrantReply(message.ask_id, decision))
         elif isinstance(message, GrantReply):
             self.gate.on_reply(message)
+        elif isinstance(message, HolderWanted):
+            hint = self.gate.hint_for(message.shard)
+            if hint is not None:
+                link.send(0, hint)
+        elif isinstance(message, HolderHint):
+            self.gate.on_hint(message)
         elif isinstance(message, Claim):
             link.send(0, self.keeper.on_claim(message))
         elif isinstance(message, ClaimReply) and link.peer is not None:
--- a/wasabimux/entry/rate_gate.py
+++ b/wasabimux/entry/rate_gate.py
@@ -14,10 +14,11 @@
     shard_of,
 )
 from wasabimux.errors import ErrorCode, RefusedError, refused
-from wasabimux.link.messages import GrantAsk, GrantReply
+from wasabimux.link.messages import GrantAsk, GrantReply, HolderHint, HolderWanted
 from wasabimux.ports import Store, StoreUnavailable
 
 ASK_TIMEOUT_S = 0.5
+HINT_TIMEOUT_S = 0.2
 RETRY_S = 0.1
 
 #: Longest wait of a request for a holder that can be reached.
@@ -48,6 +49,7 @@
         self._purses_by_workspace: dict[str, GrantPurse] = {}
         self._holder_by_shard: dict[int, Holder] = {}
         self._waiting_by_ask: dict[int, asyncio.Future[GrantDecision]] = {}
+        self._hint_by_shard: dict[int, asyncio.Future[Holder]] = {}
         self._next_ask = 1
 
     async def charge(self, workspace: str, tokens: float, wait_until_s: float) -> None:
@@ -102,6 +104,24 @@
         if waiting is not None and not waiting.done():
             waiting.set_result(reply.decision)
 
+    def hint_for(self, shard: int) -> HolderHint | None:
+        """Returns who holds a shard, for a peer that is cut off from the store."""
+        holder = self._holder_by_shard.get(shard)
+        if shard in self._keeper.held:
+            holder = self._keeper.me
+        if holder is None:
+            return None
+        return HolderHint(shard, holder.name, holder.incarnation, holder.address)
+
+    def on_hint(self, hint: HolderHint) -> None:
+        """Takes a peer's answer on who holds a shard."""
+        waiting = self._hint_by_shard.get(hint.shard)
+        if waiting is not None and not waiting.done():
+            holder = Holder(
+                name=hint.name, incarnation=hint.incarnation, address=hint.address
+            )
+            waiting.set_result(holder)
+
     def _wait_after(
         self,
         decision: GrantDecision,
@@ -171,13 +191,32 @@
     async def _address_of(self, shard: int) -> str:
         holder = self._holder_by_shard.get(shard)
         if holder is None:
-            known = await read_shard(self._store, shard)
-            if known is None or known.record.holder is None:
+            try:
+                known = await read_shard(self._store, shard)
+                holder = known.record.holder if known else None
+            except StoreUnavailable:
+                holder = await self._ask_peers(shard)
+            if holder is None:
                 raise OSError("the shard has no holder")
-            holder = known.record.holder
             self._holder_by_shard[shard] = holder
         return holder.address
 
+    async def _ask_peers(self, shard: int) -> Holder | None:
+        """Asks linked entries who holds a shard; returns the first answer."""
+        hint = self._hint_by_shard.get(shard)
+        if hint is None:
+            hint = asyncio.get_running_loop().create_future()
+            self._hint_by_shard[shard] = hint
+        for link in self._peers.links():
+            link.send(0, HolderWanted(shard))
+        try:
+            async with asyncio.timeout(HINT_TIMEOUT_S):
+                return await asyncio.shield(hint)
+        except TimeoutError:
+            return None
+        finally:
+            self._hint_by_shard.pop(shard, None)
+
 
 def _no_holder() -> RefusedError:
     return refused(ErrorCode.OVERLOADED, "the workspace's share cannot be checked now")
--- a/wasabimux/entry/rate_shards.py
+++ b/wasabimux/entry/rate_shards.py
@@ -168,6 +168,11 @@
         """Shards that this entry holds."""
         return sorted(self._held_by_shard)
 
+    @property
+    def me(self) -> Holder:
+        """This entry as a holder."""
+        return self._me
+
     async def run(self) -> None:
         """Keeps shards until it is cancelled."""
         while True:
--- a/wasabimux/link/codec.py
+++ b/wasabimux/link/codec.py
@@ -20,6 +20,8 @@
     GrantReply,
     Head,
     Hello,
+    HolderHint,
+    HolderWanted,
     Item,
     KvSource,
     LoadReport,
@@ -206,6 +208,18 @@
     reply.epoch = message.epoch
 
 
+def _encode_holder_wanted(builder: Any, message: HolderWanted) -> None:
+    builder.holderWanted = message.shard
+
+
+def _encode_holder_hint(builder: Any, message: HolderHint) -> None:
+    hint = builder.init("holderHint")
+    hint.shard = message.shard
+    hint.name = message.name
+    hint.incarnation = message.incarnation
+    hint.address = message.address
+
+
 _ENCODERS: dict[type, Callable[[Any, Any], None]] = {
     Hello: _encode_hello,
     Open: _encode_open,
@@ -223,6 +237,8 @@
     GrantReply: _encode_grant_reply,
     Claim: _encode_claim,
     ClaimReply: _encode_claim_reply,
+    HolderWanted: _encode_holder_wanted,
+    HolderHint: _encode_holder_hint,
 }
 
 
@@ -309,6 +325,11 @@
     return GrantReply(reply.askId, decision)
 
 
+def _decode_holder_hint(item: Any) -> HolderHint:
+    hint = item.holderHint
+    return HolderHint(hint.shard, hint.name, hint.incarnation, hint.address)
+
+
 _DECODERS: dict[str, Callable[[Any], Message]] = {
     "hello": _decode_hello,
     "open": _decode_open,
@@ -323,6 +344,8 @@
     "settingsWanted": lambda item: SettingsWanted(),
     "grantAsk": _decode_grant_ask,
     "grantReply": _decode_grant_reply,
+    "holderWanted": lambda item: HolderWanted(item.holderWanted),
+    "holderHint": _decode_holder_hint,
     "claim": lambda item: Claim(item.claim.shard, item.claim.epoch),
     "claimReply": lambda item: ClaimReply(item.claimReply.shard, item.claimReply.epoch),
 }
--- a/wasabimux/link/messages.py
+++ b/wasabimux/link/messages.py
@@ -176,6 +176,21 @@
     decision: GrantDecision
 
 
+class HolderWanted(NamedTuple):
+    """Asks a peer who holds a shard; for entries cut off from the store."""
+
+    shard: int
+
+
+class HolderHint(NamedTuple):
+    """Who holds a shard, as far as the sender knows."""
+
+    shard: int
+    name: str
+    incarnation: int
+    address: str
+
+
 class Claim(NamedTuple):
     """Tells the former holder of a shard that the sender holds it now."""
 
@@ -216,6 +231,8 @@
     GrantReply,
     Claim,
     ClaimReply,
+    HolderWanted,
+    HolderHint,
 ]
 
 
--- a/wasabimux/link/wire.capnp
+++ b/wasabimux/link/wire.capnp
@@ -27,6 +27,8 @@
     settingsWanted @14 :Void;
     claim @15 :Claim;
     claimReply @16 :ClaimReply;
+    holderWanted @17 :UInt16; # asks a peer who holds a shard
+    holderHint @18 :HolderHint;
   }
 }
 
@@ -136,3 +138,10 @@
   shard @0 :UInt16;
   epoch @1 :UInt64;       # the sender grants nothing in earlier epochs any more
 }
+
+struct HolderHint {
+  shard @0 :UInt16;
+  name @1 :Text;
+  incarnation @2 :UInt64;
+  address @3 :Text;
+}
--- a/wasabimux/standins/engine.py
+++ b/wasabimux/standins/engine.py
@@ -172,6 +172,8 @@
         if len(self._slots_by_run) >= self.parameters.slots:
             raise EngineRefused(503, "no memory")
         self._slots_by_run[run] = _Slot(0)
+        running = len(self._slots_by_run) + len(self._prefills)
+        self.highest_concurrency = max(self.highest_concurrency, running)
         try:
             tokens = await self.fetch_kv(source, handle)
         except BaseException:
@@ -279,8 +281,6 @@
 
     def _check_load(self, run: str) -> None:
         """Falls over when a cold engine begins more than it can bear."""
-        running = len(self._slots_by_run) + len(self._prefills)
-        self.highest_concurrency = max(self.highest_concurrency, running)
         if _now() >= self.cold_until_s:
             self._begun_cold.clear()
             return
