Work out the capacity of each role from measured slopes

Cause: nobody knew what fits at 770 daemons. The index of settings keeps workspaces and keys in compact form.

--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,350 @@
+"""Measures the slopes that docs/CAPACITY.md is worked out from.
+
+Usage: python -m benchmarks.slopes
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import time
+from typing import Any
+
+from benchmarks.measure import Figure, bytes_each, seconds_per_call
+from wasabimux.decisions.rate import (
+    GrantDecision,
+    GrantOutcome,
+    GrantReport,
+    RateRules,
+    ShardLedger,
+    Spent,
+)
+from wasabimux.decisions.replies import ReplyTable
+from wasabimux.entry.claims import ClaimRecord
+from wasabimux.entry.rate_shards import Holder, ShardRecord
+from wasabimux.ids import Incarnation, RequestId, SettingsVersion
+from wasabimux.link.channels import memory_pair
+from wasabimux.link.codec import decode_frame, encode_frame
+from wasabimux.link.link import Link, LinkEvents
+from wasabimux.link.messages import (
+    Data,
+    End,
+    GrantAsk,
+    GrantReply,
+    Head,
+    Hello,
+    Item,
+    KvSource,
+    LoadReport,
+    Open,
+    Operation,
+    Ping,
+    SettingsUpdate,
+)
+from wasabimux.settings.check import check_fleet
+from wasabimux.settings.fleet import FleetSettings
+from wasabimux.settings.index import FleetIndex, key_digest
+from wasabimux.settings.views import AgentView
+from wasabimux.standins.engine import EngineParameters
+from wasabimux.standins.virtual_fleet import VirtualFleet, run_virtual
+from wasabimux.timeline import HybridClock, Timeline
+
+TCP_IP_BYTES = 52  # headers of a segment with time stamps
+LENGTH_BYTES = 4
+REQUEST_ID = "0123456789abcdef01234567"
+TOKEN_EVENT = (
+    b'data: {"id": "0123456789abcdef01234567.0", "model": "twine-large", '
+    b'"choices": [{"index": 0, "finish_reason": null, "text": "w0 "}]}\n\n'
+)
+
+
+def make_document(workspaces: int, routes: int = 4) -> dict[str, Any]:
+    """Makes a fleet's settings with many workspaces, a key each."""
+    names = [f"workspace-{number:06d}" for number in range(workspaces)]
+    domains = [{"id": f"domain-{number}"} for number in range(12)]
+    return {
+        "failure_domains": domains,
+        "tree": {"children": {"large": {"set": {"rate_tokens_per_s": 20_000}}}},
+        "groups": [{"id": "service", "role": "service"}],
+        "workspaces": [{"id": name, "branch": "/large"} for name in names],
+        "keys": [
+            {"digest": hashlib.sha256(name.encode()).hexdigest(), "workspace": name}
+            for name in names
+        ],
+        "routes": [
+            {
+                "id": f"route-{number}",
+                "kind": "service",
+                "path_prefix": f"/service-{number}",
+                "group": "service",
+            }
+            for number in range(routes)
+        ],
+    }
+
+
+def settings_figures() -> list[Figure]:
+    """Measures what an entry holds and does for the settings."""
+    large = 10_000
+    figures = []
+    per_workspace = bytes_each(_index, large)
+    figures.append(Figure("entry.memory_per_workspace_and_key", per_workspace, "B"))
+    document = make_document(large)
+    start = time.process_time()
+    check_fleet(document)
+    check_s = time.process_time() - start
+    figures.append(Figure("entry.cpu_check_per_workspace", check_s / large * 1e6, "us"))
+    value = json.dumps(document).encode()
+    figures.append(Figure("settings.bytes_per_workspace", len(value) / large, "B"))
+    route_bytes = bytes_each(lambda count: _index(10, count), 5_000)
+    figures.append(Figure("entry.memory_per_route", route_bytes, "B"))
+    index = _index(1_000)
+    digest = key_digest("workspace-000005")
+    lookup_s = seconds_per_call(lambda: index.workspace_of(digest), 10_000)
+    figures.append(Figure("entry.cpu_key_lookup", lookup_s * 1e6, "us"))
+    return figures
+
+
+def _index(workspaces: int, routes: int = 4) -> FleetIndex:
+    fleet = FleetSettings.model_validate(make_document(workspaces, routes))
+    return FleetIndex(SettingsVersion(1), fleet)
+
+
+def wire_figures() -> list[Figure]:
+    """Measures the messages of the link."""
+    report = GrantReport([Spent(1 << 33, 900.0)], 100.0)
+    decision = GrantDecision(GrantOutcome.GRANTED, 1_000.0, 1 << 33)
+    view = AgentView(accepting=True, max_requests=8, cold_requests=2, warm_up_s=2)
+    update = SettingsUpdate(12_345, view.model_dump_json().encode())
+    open_ = Open(
+        Operation.PREFILL,
+        REQUEST_ID,
+        workspace="workspace-000001",
+        budget_ms=60_000,
+        target="/v1/completions",
+        body=b"x" * 200,
+    )
+    source = KvSource("10.0.0.1:7300", f"kv-{REQUEST_ID}.0", 1_000, 0)
+    messages: dict[str, list[Item]] = {
+        "ping": [Item(0, Ping())],
+        "load_report": [Item(0, LoadReport(8, 5, 2, True))],
+        "grant_ask": [Item(0, GrantAsk(7, "workspace-000001", 1e3, 1e3, report))],
+        "grant_reply": [Item(0, GrantReply(7, decision))],
+        "announcement": [Item(0, SettingsUpdate(12_345))],
+        "agent_view": [Item(0, update)],
+        "open_without_prompt": [Item(9, open_)],
+        "kv_source": [Item(9, source)],
+        "head": [Item(9, Head(200))],
+        "end": [Item(9, End(None, 1_000, 200))],
+        "token": [Item(9, Data(5, TOKEN_EVENT))],
+    }
+    figures = []
+    for name, items in messages.items():
+        size = len(encode_frame(1, items)) + LENGTH_BYTES
+        figures.append(Figure(f"wire.{name}", size, "B"))
+    figures += _token_figures()
+    ask = messages["grant_ask"]
+    ask_s = seconds_per_call(lambda: decode_frame(encode_frame(1, ask)), 5_000)
+    figures.append(Figure("wire.cpu_grant_ask_both_sides", ask_s * 1e6, "us"))
+    return figures
+
+
+def _token_figures() -> list[Figure]:
+    """Measures tokens of many streams that share a frame."""
+    figures = []
+    for count in (1, 8, 32):
+        items = [Item(stream, Data(5, TOKEN_EVENT)) for stream in range(count)]
+        frame = encode_frame(1, items)
+        write_s = seconds_per_call(lambda: encode_frame(1, items), 2_000) / count
+        read_s = seconds_per_call(lambda: decode_frame(frame), 2_000) / count
+        figures.append(Figure(f"wire.cpu_write_token_{count}", write_s * 1e6, "us"))
+        figures.append(Figure(f"wire.cpu_read_token_{count}", read_s * 1e6, "us"))
+    return figures
+
+
+def rate_figures() -> list[Figure]:
+    """Measures the holder of a shard."""
+    rules = RateRules(1e6, 1e9)
+    ledger = ShardLedger(1, lambda workspace: rules, 0.0, first=True)
+    clock = [0.0]
+
+    def grant() -> None:
+        clock[0] += 0.001
+        decision = ledger.ask("workspace-1", 100, 100, clock[0])
+        spent = [Spent(decision.grant, 100.0)]
+        ledger.settle("workspace-1", spent, 10.0, clock[0])
+
+    def fill(count: int) -> ShardLedger:
+        filled = ShardLedger(1, lambda workspace: rules, 0.0, first=True)
+        for number in range(count):
+            filled.ask(f"workspace-{number}", 100, 100, 0.0)
+        return filled
+
+    record = ShardRecord(
+        epoch=7,
+        holder=Holder(name="entry-1", incarnation=1 << 62, address="10.0.0.1:1"),
+    )
+    claim = ClaimRecord(
+        request_id=REQUEST_ID,
+        fingerprint="0" * 32,
+        upstream="orders-a1",
+        incarnation=1 << 62,
+        claimed_ms=1 << 40,
+    )
+    return [
+        Figure("holder.cpu_per_grant", seconds_per_call(grant, 20_000) * 1e6, "us"),
+        Figure("holder.memory_per_active_workspace", bytes_each(fill, 20_000), "B"),
+        Figure("store.bytes_shard_record", len(record.model_dump_json()), "B"),
+        Figure("store.bytes_claim", len(claim.model_dump_json()), "B"),
+    ]
+
+
+def memory_figures() -> list[Figure]:
+    """Measures links, streams, kept replies and events."""
+
+    def fill_replies(count: int) -> ReplyTable[bytes]:
+        table: ReplyTable[bytes] = ReplyTable()
+        for number in range(count):
+            request_id = RequestId(f"{number:024x}")
+            table.admit(request_id, number, 0.0, 0.0)
+            table.finish(request_id, bytes(200), 200, 0.0)
+        return table
+
+    def fill_timeline(count: int) -> Timeline:
+        timeline = Timeline("entry-1", capacity=count)
+        for number in range(count):
+            timeline.record(
+                "sent_call", f"{number:024x}", "w-1", upstream="a", attempt=0
+            )
+        return timeline
+
+    figures = [
+        Figure("agent.memory_per_kept_reply", bytes_each(fill_replies, 15_000), "B"),
+        Figure("memory_per_event", bytes_each(fill_timeline, 20_000), "B"),
+    ]
+    return figures + asyncio.run(_link_figures())
+
+
+async def _link_figures() -> list[Figure]:
+    pairs: list[Link] = []
+
+    def open_links(count: int) -> list[Link]:
+        for _ in range(count):
+            near, far = memory_pair()
+            for channel, initiator in ((near, True), (far, False)):
+                hello = Hello("entry", "entry-1", Incarnation(1))
+                link = Link(channel, hello, HybridClock(), LinkEvents(), initiator)
+                link.start()
+                pairs.append(link)
+        return pairs
+
+    per_pair = bytes_each(open_links, 1_000)
+    await asyncio.sleep(0.1)
+    first = pairs[0]
+    message = Open(Operation.RESERVE, REQUEST_ID)
+    per_stream = bytes_each(
+        lambda count: [first.open(message) for _ in range(count)], 2_000
+    )
+    for link in pairs:
+        link.close()
+    return [
+        Figure("memory_per_link_without_socket", per_pair / 2, "B"),
+        Figure("memory_per_stream", per_stream, "B"),
+    ]
+
+
+def request_figures() -> list[Figure]:
+    """Measures requests through entry and agents on a virtual clock.
+
+    The processor time holds entry, agents, links and the stand-ins together, so it
+    is an upper bound for the daemons.
+    """
+    document = json.loads(open("examples/brazos.json").read())
+    fleet = check_fleet(document).ok
+    figures = []
+    short_s, short_frames = run_virtual(_requests(fleet, 400, 8))
+    long_s, long_frames = run_virtual(_requests(fleet, 400, 72))
+    per_token_s = (long_s - short_s) / (400 * 64)
+    per_request_s = short_s / 400 - 8 * per_token_s
+    figures.append(Figure("path.cpu_per_request", per_request_s * 1e6, "us"))
+    figures.append(Figure("path.cpu_per_token", per_token_s * 1e6, "us"))
+    figures.append(Figure("path.frames_per_request", short_frames / 400, "frames"))
+    figures += run_virtual(_idle(fleet))
+    return figures
+
+
+def _body(tokens: int) -> bytes:
+    fields = {"model": "twine-large", "prompt": "x" * 200, "stream": True}
+    return json.dumps(fields | {"max_tokens": tokens}).encode()
+
+
+async def _requests(
+    settings: FleetSettings, count: int, tokens: int
+) -> tuple[float, float]:
+    headers = [(b"authorization", b"Bearer example-rope-yard")]
+    parameters = EngineParameters(slots=64)
+    upstreams = [
+        item.model_copy(update={"max_requests": 64, "cold_requests": 64})
+        for item in settings.upstreams
+    ]
+    settings = settings.model_copy(update={"upstreams": upstreams})
+    async with VirtualFleet(settings, 1, parameters) as fleet:
+        await fleet.until_ready()
+        start, frames = time.process_time(), fleet.network.frames
+
+        async def send_some(share: int) -> None:
+            for _ in range(share):
+                await fleet.request(
+                    "entry-1", "POST", "/v1/completions", headers, _body(tokens)
+                )
+
+        work = [send_some(count // 40) for _ in range(40)]
+        await asyncio.gather(*work)
+        return time.process_time() - start, float(fleet.network.frames - frames)
+
+
+async def _idle(settings: FleetSettings) -> list[Figure]:
+    async with VirtualFleet(settings, 3) as fleet:
+        await fleet.until_ready()
+        await asyncio.sleep(20)
+        entry = fleet.entries_by_name["entry-1"]
+        agent = fleet.agents_by_id["decode-a1"]
+        before = (entry.traffic.periodic_bytes, agent.traffic.periodic_bytes)
+        reads, writes = fleet.platform.reads, fleet.platform.writes
+        cpu = time.process_time()
+        await asyncio.sleep(100)
+        cpu = time.process_time() - cpu
+        links = len(fleet.settings.upstreams)
+        entry_rate = (entry.traffic.periodic_bytes - before[0]) / 100
+        agent_rate = (agent.traffic.periodic_bytes - before[1]) / 100
+        return [
+            Figure("entry.periodic_bytes_per_s_12_agents_2_peers", entry_rate, "B/s"),
+            Figure("agent.periodic_bytes_per_s_3_entries", agent_rate, "B/s"),
+            Figure("link.periodic_bytes_per_s", agent_rate / 3, "B/s"),
+            Figure("link.cpu_idle_both_ends", cpu / 100 / 3 / links * 1e6, "us/s"),
+            Figure("store.reads_per_s_3_entries", _rate(fleet, reads, True), "1/s"),
+            Figure("store.writes_per_s_3_entries", _rate(fleet, writes, False), "1/s"),
+        ]
+
+
+def _rate(fleet: VirtualFleet, before: int, reads: bool) -> float:
+    now = fleet.platform.reads if reads else fleet.platform.writes
+    return (now - before) / 100
+
+
+def main() -> None:
+    """Measures and prints all slopes."""
+    for measure in (
+        settings_figures,
+        wire_figures,
+        rate_figures,
+        memory_figures,
+        request_figures,
+    ):
+        for figure in measure():
+            print(figure, flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -381,6 +381,8 @@
             self._writer.write(data)
 
     async def _drain(self) -> None:
+        if not self._writer.transport.get_write_buffer_size():
+            return  # nothing to wait for, as nearly always
         async with asyncio.timeout(WRITE_TIMEOUT_S):
             await self._writer.drain()
 
--- a/wasabimux/entry/entry.py
+++ b/wasabimux/entry/entry.py
@@ -106,7 +106,7 @@
         self.incarnation: Incarnation = new_incarnation()
         self.timeline = timeline
         self.traffic = LinkTraffic()
-        self.feed = SettingsFeed(store, self._on_settings, timeline)
+        self.feed = SettingsFeed(store, self._on_settings, timeline, rng)
         self.pool = AgentPool(
             instance,
             self.incarnation,
--- a/wasabimux/entry/feed.py
+++ b/wasabimux/entry/feed.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import json
+import random
 from collections.abc import Callable
 
 from wasabimux.ids import SettingsVersion
@@ -24,7 +25,11 @@
 
 #: Length of a watch. The store has answered when it ends, changed or not.
 WATCH_S = 20.0
-RETRY_S = 0.5
+
+#: Waits between calls while the store is out of reach, with jitter below, so that
+#: entries do not all come back to it at once.
+FIRST_RETRY_S = 0.5
+MAX_RETRY_S = 4.0
 
 #: Time between announcements of the version to peers.
 ANNOUNCE_S = 1.0
@@ -43,12 +48,18 @@
         store: The platform's store.
         on_change: Called with each new version.
         timeline: Records events.
+        rng: Source of jitter.
     """
 
     def __init__(
-        self, store: Store, on_change: Callable[[FleetIndex], None], timeline: Timeline
+        self,
+        store: Store,
+        on_change: Callable[[FleetIndex], None],
+        timeline: Timeline,
+        rng: random.Random,
     ) -> None:
         self.current: FleetIndex | None = None
+        self._rng = rng
         self._value = b""
         self._store = store
         self._on_change = on_change
@@ -60,14 +71,17 @@
 
     async def run(self) -> None:
         """Follows the store until it is cancelled."""
+        retry_s = FIRST_RETRY_S
         while True:
             after = self.current.version if self.current else 0
             try:
                 changed = await self._store.watch(SETTINGS_KIND, after, WATCH_S)
             except StoreUnavailable:
                 self._store_reached = False
-                await asyncio.sleep(RETRY_S)
+                await asyncio.sleep(self._rng.uniform(retry_s / 2, retry_s))
+                retry_s = min(MAX_RETRY_S, retry_s * 2)
                 continue
+            retry_s = FIRST_RETRY_S
             self._store_reached = True
             self._last_contact_s = asyncio.get_running_loop().time()
             for item in changed:
--- a/wasabimux/entry/pool.py
+++ b/wasabimux/entry/pool.py
@@ -222,7 +222,7 @@
         for gone in set(self._agents_by_id) - set(wanted):
             self._agents_by_id.pop(gone).close()
         for upstream_id, upstream in wanted.items():
-            view = agent_view(index.fleet, upstream)
+            view = agent_view(index.fleet, upstream, index.withdrawn_keys)
             self._views_by_id[upstream_id] = view
             update = SettingsUpdate(index.version, view.model_dump_json().encode())
             self._agent(upstream).update(upstream, update)
--- a/wasabimux/settings/index.py
+++ b/wasabimux/settings/index.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import sys
 from typing import Any, NamedTuple
 
 from wasabimux.ids import KeyDigest, SettingsVersion, WorkspaceId
@@ -57,17 +58,23 @@
 
     Args:
         version: Version of the settings.
-        fleet: The settings, already checked.
+        fleet: The settings, already checked. Workspaces and keys are kept in a
+            compact form only.
     """
 
     def __init__(self, version: SettingsVersion, fleet: FleetSettings) -> None:
         self.version = version
-        self.fleet = fleet
+        self.fleet = fleet.model_copy(update={"workspaces": [], "keys": []})
+        self.withdrawn_keys = [
+            key.digest for key in fleet.keys if key.state is KeyState.WITHDRAWN
+        ]
         self.upstreams_by_group: dict[str, list[Upstream]] = {}
         for upstream in fleet.upstreams:
             self.upstreams_by_group.setdefault(upstream.group, []).append(upstream)
+        # One text for each id and branch, as 45,000 workspaces share few branches.
+        workspace_ids = {item.id: WorkspaceId(item.id) for item in fleet.workspaces}
         self._workspace_by_key = {
-            KeyDigest(key.digest): WorkspaceId(key.workspace)
+            bytes.fromhex(key.digest): workspace_ids[key.workspace]
             for key in fleet.keys
             if key.state is KeyState.GRANTED
         }
@@ -82,7 +89,9 @@
         self._service_routes = sorted(
             service_routes, key=lambda route: len(route.path_prefix or ""), reverse=True
         )
-        self._branch_by_workspace = {item.id: item.branch for item in fleet.workspaces}
+        self._branch_by_workspace = {
+            workspace_ids[item.id]: sys.intern(item.branch) for item in fleet.workspaces
+        }
         self._bytes_per_token_by_model = {
             model.name: model.bytes_per_token for model in fleet.models
         }
@@ -90,7 +99,7 @@
 
     def workspace_of(self, digest: KeyDigest) -> WorkspaceId | None:
         """Returns the workspace that a key opens, None for an unknown key."""
-        return self._workspace_by_key.get(digest)
+        return self._workspace_by_key.get(bytes.fromhex(digest))
 
     def completions_route(self, model: str) -> Route | None:
         """Returns the route of a model."""
--- a/wasabimux/settings/views.py
+++ b/wasabimux/settings/views.py
@@ -6,7 +6,6 @@
     Document,
     DomainState,
     FleetSettings,
-    KeyState,
     Upstream,
     UpstreamState,
 )
@@ -34,9 +33,16 @@
     withdrawn_keys: list[str] = []
 
 
-def agent_view(fleet: FleetSettings, upstream: Upstream) -> AgentView:
-    """Extracts what the agent of an upstream needs."""
-    withdrawn = [key.digest for key in fleet.keys if key.state is KeyState.WITHDRAWN]
+def agent_view(
+    fleet: FleetSettings, upstream: Upstream, withdrawn_keys: list[str]
+) -> AgentView:
+    """Extracts what the agent of an upstream needs.
+
+    Args:
+        fleet: The settings.
+        upstream: The agent's upstream.
+        withdrawn_keys: Digests of withdrawn keys, the last one at the end.
+    """
     in_service = any(
         domain.id == upstream.failure_domain and domain.state is DomainState.IN_SERVICE
         for domain in fleet.failure_domains
@@ -46,5 +52,5 @@
         max_requests=upstream.max_requests,
         cold_requests=upstream.cold_requests,
         warm_up_s=upstream.warm_up_s,
-        withdrawn_keys=withdrawn[-MAX_WITHDRAWN_KEYS:],
+        withdrawn_keys=withdrawn_keys[-MAX_WITHDRAWN_KEYS:],
     )
--- a/wasabimux/standins/laptop.py
+++ b/wasabimux/standins/laptop.py
@@ -194,6 +194,10 @@
                 env=os.environ | {"PYTHONDONTWRITEBYTECODE": "1"},
             )
 
+    def pid(self, name: str) -> int:
+        """Returns the process id of a process."""
+        return self._process_by_name[name].pid
+
     def signal(self, name: str, number: Signals) -> None:
         """Sends a signal to a process."""
         self._process_by_name[name].send_signal(number)
--- a/wasabimux/timeline.py
+++ b/wasabimux/timeline.py
@@ -8,7 +8,7 @@
 from typing import Callable, Iterator, NamedTuple
 
 CLOCK_LOGICAL_BITS = 16
-DEFAULT_CAPACITY_EVENTS = 20_000
+DEFAULT_CAPACITY_EVENTS = 5_000
 
 logger = logging.getLogger("wasabimux")
 
