Fuzz a whole fleet on a virtual clock against simple oracles

Rules for callers, entries, agents, links, store, engines and failure domains; oracles for at most once, true refusals, whole and own answers, memory, rate and burst, cold start, settings that never revert, domains taken out.

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,10 @@
 
 clean:
 	rm -rf $(VENV) build *.egg-info
+
+SEED ?= 1
+STEPS ?= 1000
+
+.PHONY: fuzz
+fuzz: $(VENV)/.installed
+	$(BIN)/python -m tests.fuzz $(SEED) $(STEPS)
--- /dev/null
+++ b/tests/fuzz.py
@@ -0,0 +1,372 @@
+"""Stateful fuzzing of a whole fleet on a virtual clock against simple oracles.
+
+Usage: python -m tests.fuzz SEED STEPS
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+import sys
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import looptime
+from hypothesis import HealthCheck, Phase, seed, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    rule,
+    run_state_machine_as_test,
+)
+
+from tests.client import authorization, completion_body
+from tests.oracles import Charge, overrun
+from wasabimux.settings.check import check_fleet
+from wasabimux.settings.fleet import DomainState, FleetSettings
+from wasabimux.standins.engine import EngineParameters
+from wasabimux.standins.virtual_fleet import IDLE_CYCLES, VirtualAnswer, VirtualFleet
+
+EXAMPLE = Path(__file__).parent.parent / "examples" / "brazos.json"
+WORKSPACE = "grad-crew"
+RATE, BURST = 2_000.0, 40_000.0
+STEPS_PER_RUN = 25
+SETTLE_S = 40.0
+LEAVING_BOUND_S = 3.0
+
+#: Events carry whole milliseconds, so times are off by up to 1 ms each.
+OVERRUN_TOLERANCE_TOKENS = RATE * 0.002
+
+ENTRIES = st.sampled_from(["entry-1", "entry-2", "entry-3"])
+DOMAINS = st.sampled_from(["tx-austin", "tx-bryan", "tx-waco"])
+PARAMETERS = EngineParameters(cold_s=4.0, cold_limit=2)
+
+
+class Order(NamedTuple):
+    """An order that callers have posted, maybe several times."""
+
+    target: str
+    answers: list[VirtualAnswer]
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Callers, faults and operators, in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = looptime.new_event_loop(noop_cycles=IDLE_CYCLES)
+        fleet = check_fleet(json.loads(EXAMPLE.read_bytes())).ok
+        self.original: FleetSettings = fleet
+        self.fleet = VirtualFleet(fleet, 3, PARAMETERS)
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self.orders: dict[int, Order] = {}
+        self.completions: list[tuple[int, VirtualAnswer]] = []
+        self.ordered_crashes = 0
+        self.newest: dict[int, int] = {}
+        self.out_since: dict[str, tuple[float, dict[str, int] | None]] = {}
+        self.run(self._start())
+
+    def run(self, work: Coroutine[Any, Any, Any]) -> Any:
+        """Runs a coroutine, then checks what must hold at every moment."""
+        result = self.loop.run_until_complete(work)
+        self._check_versions()
+        self._check_domains_out()
+        self._check_at_most_once()
+        return result
+
+    async def _start(self) -> None:
+        await self.fleet.__aenter__()
+        await self.fleet.until_ready()
+        for service in self.fleet.services_by_id.values():
+            service.faults.delay_s = 0.3
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        async def begin() -> None:
+            task = asyncio.ensure_future(work)
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            await asyncio.sleep(0)
+
+        self.run(begin())
+
+    # Callers
+
+    @rule(entry=ENTRIES, tokens=st.sampled_from([1, 20, 200]), prompt=st.integers(1, 9))
+    def complete(self, entry: str, tokens: int, prompt: int) -> None:
+        if entry in self.fleet.entries_by_name:
+            self._spawn(self._complete(entry, tokens, prompt, None))
+
+    @rule(entry=ENTRIES, pieces=st.integers(1, 30))
+    def complete_and_leave(self, entry: str, pieces: int) -> None:
+        if entry in self.fleet.entries_by_name:
+            self._spawn(self._complete(entry, 60, 1, pieces))
+
+    @rule(entry=ENTRIES, number=st.integers(0, 5), keyed=st.booleans())
+    def post_order(self, entry: str, number: int, keyed: bool) -> None:
+        if entry not in self.fleet.entries_by_name:
+            return
+        if not keyed:
+            number = len(self.orders) + 100
+        self._spawn(self._post(entry, number, keyed))
+
+    async def _complete(
+        self, entry: str, tokens: int, prompt: int, pieces: int | None
+    ) -> None:
+        body = completion_body("x" * 4_000 * prompt, stream=True, max_tokens=tokens)
+        answer = await self.fleet.request(
+            entry,
+            "POST",
+            "/v1/completions",
+            authorization(WORKSPACE),
+            body,
+            pieces,
+        )
+        if answer is not None and pieces is None:
+            self.completions.append((tokens, answer))
+
+    async def _post(self, entry: str, number: int, keyed: bool) -> None:
+        target = f"/orders/retwist/{number}"
+        order = self.orders.setdefault(number, Order(target, []))
+        headers = authorization(WORKSPACE)
+        if keyed:
+            headers.append((b"idempotency-key", str(number).encode()))
+        answer = await self.fleet.request(entry, "POST", target, headers, b"{}")
+        if answer is not None:
+            order.answers.append(answer)
+
+    # Time and faults
+
+    @rule(duration_s=st.sampled_from([0.001, 0.05, 0.5, 3.0, 8.0]))
+    def pass_time(self, duration_s: float) -> None:
+        self.run(asyncio.sleep(duration_s))
+
+    @rule(entry=ENTRIES)
+    def kill_or_start_entry(self, entry: str) -> None:
+        async def change() -> None:
+            if entry not in self.fleet.entries_by_name:
+                self.fleet.start_entry(entry)
+            elif len(self.fleet.entries_by_name) > 1:
+                self.newest.pop(id(self.fleet.entries_by_name[entry]), None)
+                self.fleet.kill_entry(entry)
+
+        self.run(change())
+
+    @rule(data=st.data())
+    def replace_agent(self, data: st.DataObject) -> None:
+        upstream_id = data.draw(st.sampled_from(sorted(self.fleet.agents_by_id)))
+
+        async def change() -> None:
+            self.fleet.kill_agent(upstream_id)
+            await self.fleet.start_agent(upstream_id)
+
+        self.run(change())
+
+    @rule(entry=ENTRIES, delay_s=st.sampled_from([0.2, 2.0]))
+    def slow_messages(self, entry: str, delay_s: float) -> None:
+        self.fleet.network.slow(entry, delay_s)
+
+    @rule(entry=ENTRIES)
+    def lose_links(self, entry: str) -> None:
+        self.fleet.network.reset(entry)
+        self.run(asyncio.sleep(0))
+
+    @rule(first=ENTRIES, second=ENTRIES)
+    def part_entries(self, first: str, second: str) -> None:
+        if first != second:
+            self.fleet.network.cut(first, second)
+            self.run(asyncio.sleep(0))
+
+    @rule(entry=ENTRIES, cut=st.booleans())
+    def cut_store(self, entry: str, cut: bool) -> None:
+        if entry in self.fleet.stores_by_name:
+            self.fleet.stores_by_name[entry].cut = cut
+
+    @rule(fault=st.sampled_from(["down", "slow", "lose_answers", "well"]))
+    def platform_fault(self, fault: str) -> None:
+        async def change() -> None:
+            platform = self.fleet.platform
+            platform.faults.delay_s = 1.0 if fault == "slow" else 0.0
+            platform.faults.lose_answers = fault == "lose_answers"
+            platform.set_down(fault == "down")
+
+        self.run(change())
+
+    @rule(data=st.data(), fault=st.sampled_from(["crash", "cold", "cancels", "stall"]))
+    def engine_fault(self, data: st.DataObject, fault: str) -> None:
+        engines = self.fleet.engines_by_id
+        engine = engines[data.draw(st.sampled_from(sorted(engines)))]
+
+        async def change() -> None:
+            if fault == "crash":
+                self.ordered_crashes += 1
+                engine.crash()
+                await asyncio.sleep(0.2)
+                engine.restart()
+            elif fault == "cold":
+                engine.turn_cold()
+            elif fault == "cancels":
+                engine.faults.lose_cancels = 2
+            else:
+                engine.faults.stall_exports = not engine.faults.stall_exports
+
+        self.run(change())
+
+    @rule(domain=DOMAINS, out=st.booleans())
+    def change_domain(self, domain: str, out: bool) -> None:
+        platform = self.fleet.platform.faults
+        if platform.down or platform.lose_answers:
+            return
+        state = DomainState.OUT if out else DomainState.IN_SERVICE
+        domains = [
+            item.model_copy(update={"state": state}) if item.id == domain else item
+            for item in self.fleet.settings.failure_domains
+        ]
+        changed = self.fleet.settings.model_copy(update={"failure_domains": domains})
+
+        async def change() -> None:
+            await self.fleet.apply(changed)
+            if out:
+                self.out_since.setdefault(domain, (self.loop.time(), None))
+            else:
+                self.out_since.pop(domain, None)
+
+        self.run(change())
+
+    # Oracles
+
+    def _check_versions(self) -> None:
+        """No process goes back to older settings."""
+        holders: list[Any] = [*self.fleet.entries_by_name.values()]
+        versions = {
+            id(item): item.feed.current.version for item in holders if item.feed.current
+        }
+        for agent in self.fleet.agents_by_id.values():
+            versions[id(agent)] = agent.capacity.version
+        for key, version in versions.items():
+            assert version >= self.newest.get(key, 0), "settings went back"
+        self.newest = versions
+
+    def _check_domains_out(self) -> None:
+        """A domain taken out gets no new work after a few seconds."""
+        for domain, (since_s, counted) in list(self.out_since.items()):
+            runs = {
+                upstream.id: sum(
+                    self.fleet.engines_by_id[upstream.id].runs_by_request.values()
+                )
+                for upstream in self.original.upstreams
+                if upstream.failure_domain == domain
+                and upstream.id in self.fleet.engines_by_id
+            }
+            if counted is not None:
+                assert runs == counted, f"new work in {domain}"
+            elif self.loop.time() - since_s > LEAVING_BOUND_S:
+                self.out_since[domain] = (since_s, runs)
+
+    def _check_at_most_once(self) -> None:
+        """No order runs twice, and no refusal that says no is wrong."""
+        runs = self._runs_by_target()
+        for order in self.orders.values():
+            count = runs.get(order.target, 0)
+            assert count <= 1, f"{order.target} ran {count} times"
+
+    def _runs_by_target(self) -> dict[str, int]:
+        total: dict[str, int] = {}
+        for service in self.fleet.services_by_id.values():
+            for target, count in service.runs_by_target.items():
+                total[target] = total.get(target, 0) + count
+        return total
+
+    def teardown(self) -> None:
+        try:
+            self.run(self._settle())
+            self._check_answers()
+            self._check_rate()
+            crashes = sum(item.crashes for item in self.fleet.engines_by_id.values())
+            assert crashes == self.ordered_crashes, "an engine fell over when cold"
+        finally:
+            self.loop.run_until_complete(self.fleet.__aexit__())
+            for task in asyncio.all_tasks(self.loop):
+                task.cancel()
+            self.loop.run_until_complete(asyncio.sleep(0))
+            self.loop.close()
+
+    async def _settle(self) -> None:
+        """Ends all faults; then all requests end and all memory is free."""
+        self.fleet.network.heal()
+        for store in self.fleet.stores_by_name.values():
+            store.cut = False
+        self.fleet.platform.faults.delay_s = 0.0
+        self.fleet.platform.faults.lose_answers = False
+        self.fleet.platform.set_down(False)
+        for engine in self.fleet.engines_by_id.values():
+            engine.faults.stall_exports = False
+        await asyncio.sleep(SETTLE_S)
+        assert not self.tasks, "a request has not ended"
+        for name, engine in self.fleet.engines_by_id.items():
+            assert not engine.state()["memory"], f"memory held at {name}"
+
+    def _check_answers(self) -> None:
+        """Whole answers are whole and their own; refusals are true."""
+        for tokens, answer in self.completions:
+            if answer.status != 200:
+                assert b'"ran"' in answer.body
+            elif answer.complete:
+                _check_whole(answer, tokens)
+            else:
+                assert b"[DONE]" not in answer.body
+        runs = self._runs_by_target()
+        for order in self.orders.values():
+            count = runs.get(order.target, 0)
+            for answer in order.answers:
+                if answer.status == 200:
+                    assert count == 1, "an order was answered but never ran"
+                elif b'"ran": "yes"' in answer.body:
+                    assert count == 1
+            if len(order.answers) == 1 and b'"ran": "no"' in order.answers[0].body:
+                assert count == 0, f"{order.target} ran although refused"
+
+    def _check_rate(self) -> None:
+        """No window exceeds rate * length + burst."""
+        charges: dict[str, Charge] = {}
+        for timeline in self.fleet.timelines:
+            for event in timeline.events(workspace=WORKSPACE):
+                if event.name == "charged":
+                    tokens = float(event.fields["tokens"])
+                    charges[event.request_id] = Charge(event.wall_ms / 1000, tokens)
+        for timeline in self.fleet.timelines:
+            for event in timeline.events(workspace=WORKSPACE):
+                if event.name == "refunded":
+                    charge = charges[event.request_id]
+                    left = charge.tokens - float(event.fields["tokens"])
+                    charges[event.request_id] = charge._replace(tokens=left)
+        worst = overrun(list(charges.values()), RATE, BURST)
+        assert worst <= OVERRUN_TOLERANCE_TOKENS, f"overrun of {worst} tokens"
+
+
+def _check_whole(answer: VirtualAnswer, tokens: int) -> None:
+    words = re.findall(rb'"text": "w(\d+) "', answer.body)
+    assert [int(word) for word in words] == list(range(tokens)), "not whole"
+    assert answer.body.endswith(b"data: [DONE]\n\n")
+    request_id = answer.headers[b"x-request-id"]
+    ids = set(re.findall(rb'"id": "([0-9a-f]+)\.\d+"', answer.body))
+    assert ids == {request_id}, "an answer of another request"
+
+
+def run_fuzz(seed_number: int, steps: int) -> None:
+    """Runs the machine for a number of steps from a seed."""
+    chosen = settings(
+        max_examples=max(1, steps // STEPS_PER_RUN),
+        stateful_step_count=STEPS_PER_RUN,
+        deadline=None,
+        database=None,
+        print_blob=False,
+        phases=[Phase.generate, Phase.shrink],
+        suppress_health_check=list(HealthCheck),
+    )
+    run_state_machine_as_test(seed(seed_number)(FleetMachine), settings=chosen)
+
+
+if __name__ == "__main__":
+    run_fuzz(int(sys.argv[1]), int(sys.argv[2]))
+    print(f"seed {sys.argv[1]}: {sys.argv[2]} steps, no finding")
--- a/wasabimux/entry/entry.py
+++ b/wasabimux/entry/entry.py
@@ -286,6 +286,12 @@
                 wait_until_s = context.deadline_s if context.settings.patient else 0.0
                 await self.gate.charge(context.workspace, worst_tokens, wait_until_s)
                 context.charged = worst_tokens
+                self.timeline.record(
+                    "charged",
+                    context.request_id,
+                    context.workspace,
+                    tokens=worst_tokens,
+                )
             if context.cut is not None:
                 raise RefusedError(context.cut)
             response = await serve()
@@ -301,9 +307,15 @@
         if not context.charged:
             return
         if context.used is not None:
-            self.gate.refund(context.workspace, context.charged - context.used)
+            unused = context.charged - context.used
         elif context.sent == 0:
-            self.gate.refund(context.workspace, context.charged)
+            unused = context.charged
+        else:
+            return
+        self.gate.refund(context.workspace, unused)
+        self.timeline.record(
+            "refunded", context.request_id, context.workspace, tokens=unused
+        )
 
     def _context(
         self, request: HttpRequest, caller: Caller, route: Route, index: FleetIndex
--- a/wasabimux/standins/service.py
+++ b/wasabimux/standins/service.py
@@ -29,6 +29,7 @@
     faults: ServiceFaults = field(default_factory=ServiceFaults)
     runs_by_request: dict[str, int] = field(default_factory=dict)
     headers_seen: set[str] = field(default_factory=set)
+    runs_by_target: dict[str, int] = field(default_factory=dict)
     running: int = 0
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -44,6 +45,8 @@
             self.headers_seen.add(f"{name.decode()}: {value.decode('latin-1')}")
         request_id = (request.header(b"x-request-id") or b"").decode()
         self.runs_by_request[request_id] = self.runs_by_request.get(request_id, 0) + 1
+        earlier = self.runs_by_target.get(request.target, 0)
+        self.runs_by_target[request.target] = earlier + 1
         self.running += 1
         try:
             await asyncio.sleep(self.faults.delay_s)
@@ -64,6 +67,7 @@
         """Returns what a test may look at."""
         return {
             "runs": self.runs_by_request,
+            "runs_by_target": self.runs_by_target,
             "headers": sorted(self.headers_seen),
             "running": self.running,
         }
--- a/wasabimux/standins/virtual_fleet.py
+++ b/wasabimux/standins/virtual_fleet.py
@@ -38,7 +38,7 @@
 from wasabimux.standins.engine import EngineModel, EngineParameters
 from wasabimux.standins.platform import MemoryPlatform
 from wasabimux.standins.service import PlainService
-from wasabimux.timeline import Timeline
+from wasabimux.timeline import HybridClock, Timeline
 
 Outcome = TypeVar("Outcome")
 
@@ -464,7 +464,9 @@
         return all(entry.pool.usable(group) for group in groups)
 
     def _timeline(self, name: str) -> Timeline:
-        timeline = Timeline(name)
+        loop = asyncio.get_running_loop()
+        clock = HybridClock(lambda: round(loop.time() * 1000))
+        timeline = Timeline(name, clock=clock)
         self.timelines.append(timeline)
         return timeline
 
