--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 EXAMPLE ?= brazos
 PORT ?= 8080
 ADMIN_PORT ?= $(shell expr $(PORT) + 1)
+PLATFORM_PORT ?= $(shell expr $(PORT) + 2)
 
 .PHONY: run test lint format bench slopes clean
 
@@ -13,7 +14,7 @@
 	touch $@
 
 run: $(VENV)/.installed
-	@exec $(BIN)/wasabimuxd embedded examples/$(EXAMPLE).json --port $(PORT) --admin-port $(ADMIN_PORT)
+	@exec $(BIN)/wasabimuxd embedded examples/$(EXAMPLE).json --port $(PORT) --admin-port $(ADMIN_PORT) --platform-port $(PLATFORM_PORT)
 
 test: $(VENV)/.installed lint
 	$(BIN)/python -m tests.known_red
--- a/wasabimux/cli/daemon.py
+++ b/wasabimux/cli/daemon.py
@@ -81,7 +81,13 @@
 
 
 @app.command
-def embedded(fleet: Path, *, port: int = 8080, admin_port: int = 8081) -> None:
+def embedded(
+    fleet: Path,
+    *,
+    port: int = 8080,
+    admin_port: int = 8081,
+    platform_port: int = 8082,
+) -> None:
     """Runs a whole fleet with stand-ins in one process, for a first look.
 
     Example: wasabimuxd embedded examples/brazos.json --port 9080 --admin-port 9081
@@ -90,6 +96,7 @@
         fleet: Settings of the fleet, a JSON file.
         port: Port for callers on 127.0.0.1.
         admin_port: Port for operators on 127.0.0.1.
+        platform_port: Port of the platform's API on 127.0.0.1.
     """
     configure_logging("WARNING")
     document = json.loads(fleet.read_bytes())
@@ -97,9 +104,13 @@
 
     async def run() -> bool:
         callers, admin = f"127.0.0.1:{port}", f"127.0.0.1:{admin_port}"
-        async with run_embedded(checked, callers, admin) as running:
+        platform = f"127.0.0.1:{platform_port}"
+        async with run_embedded(checked, callers, admin, platform) as running:
             await _wait_until_served(running, checked)
-            print(f"ready callers=http://{callers} admin=http://{admin}")
+            print(
+                f"ready callers=http://{callers} admin=http://{admin}"
+                f" platform=http://{platform}"
+            )
             print(_curl_line(callers, checked), flush=True)
             await wait_for_stop_signal()
             return await running.drain()
--- a/wasabimux/link/channels.py
+++ b/wasabimux/link/channels.py
@@ -7,6 +7,7 @@
 import struct
 from collections.abc import Awaitable, Callable
 
+from wasabimux.adapters.tls import peer_role
 from wasabimux.ports import Channel
 
 LENGTH_BYTES = 4
@@ -45,6 +46,11 @@
         except (asyncio.IncompleteReadError, OSError):
             return None
 
+    def proves_role(self, role: str) -> bool:
+        """Tells whether the peer's certificate names a role; true without TLS."""
+        connection = self._writer.get_extra_info("ssl_object")
+        return connection is None or peer_role(connection) == role
+
     def close(self) -> None:
         """Closes the connection; unsent data may linger for LINGER_S."""
         transport = self._writer.transport
@@ -111,6 +117,10 @@
             return None
         return await self.incoming.get()
 
+    def proves_role(self, role: str) -> bool:
+        """Returns True; there is nobody else in memory."""
+        return True
+
     def close(self) -> None:
         """Closes both ends."""
         for end in (self, self.peer):
--- a/wasabimux/link/link.py
+++ b/wasabimux/link/link.py
@@ -196,6 +196,8 @@
         if isinstance(message, Hello):
             if message.protocol != PROTOCOL_VERSION:
                 return False
+            if not self._channel.proves_role(message.role):
+                return False
             self.peer = message
             self.ready.set()
         elif not isinstance(message, Ping) and self._events.on_control:
--- /dev/null
+++ b/wasabimux/operations/__init__.py
@@ -0,0 +1,1 @@
+"""What operators do to a fleet."""
--- a/wasabimux/ports.py
+++ b/wasabimux/ports.py
@@ -24,6 +24,9 @@
     def close(self) -> None:
         """Closes the connection at once."""
 
+    def proves_role(self, role: str) -> bool:
+        """Tells whether the peer has proved its role, or need not."""
+
 
 class StoredObject(NamedTuple):
     """An object of the platform with the version of its last change."""
--- a/wasabimux/runtime.py
+++ b/wasabimux/runtime.py
@@ -7,8 +7,9 @@
 import os
 import random
 import signal
-from collections.abc import AsyncGenerator, Awaitable, Callable
-from contextlib import asynccontextmanager, closing
+import ssl
+from collections.abc import AsyncGenerator, Awaitable, Callable, Generator
+from contextlib import asynccontextmanager, closing, contextmanager
 from typing import Any, NamedTuple
 
 from aioprometheus.collectors import Registry
@@ -19,7 +20,7 @@
 from wasabimux.adapters.metrics import ProcessMetrics
 from wasabimux.adapters.platform_client import PlatformClient
 from wasabimux.adapters.service_client import ServiceClient
-from wasabimux.adapters.tls import client_context, server_context
+from wasabimux.adapters.tls import IdentityReloader, client_context, server_context
 from wasabimux.agent.agent import Agent, EngineBackend, ServiceBackend
 from wasabimux.agent.capacity import Capacity
 from wasabimux.entry.entry import Entry
@@ -86,6 +87,7 @@
     """
     timeline, registry, metrics = _observability(settings)
     tls = client_context(settings.tls) if settings.tls else None
+    peer_tls = server_context(settings.tls) if settings.tls else None
 
     async def connect(host: str, port: int) -> Channel:
         return await connect_tcp(host, port, tls)
@@ -123,11 +125,10 @@
         timeline.record("drained", complete=drained)
         return drained
 
-    peer_tls = server_context(settings.tls) if settings.tls else None
     peers = await listen_tcp(
         *parse_address(settings.peers), on_channel=entry.peers.on_channel, tls=peer_tls
     )
-    with entry, closing(peers):
+    with entry, closing(peers), _reloading(settings, tls, peer_tls):
         entry.start()
         async with callers, admin, _refreshing(metrics, entry.traffic):
             callers_address = await callers.listen(*parse_address(settings.callers))
@@ -169,7 +170,7 @@
         return await agent.drain(DRAIN_TIMEOUT_S)
 
     try:
-        with agent:
+        with agent, _reloading(settings, tls):
             async with admin, _refreshing(metrics, agent.traffic):
                 await admin.listen(*parse_address(settings.admin))
                 bound = links.sockets[0].getsockname()
@@ -266,6 +267,22 @@
     return timeline, registry, metrics
 
 
+@contextmanager
+def _reloading(
+    settings: ProcessSettings, *contexts: ssl.SSLContext | None
+) -> Generator[None, None, None]:
+    """Takes renewed certificates into use while the process runs."""
+    if settings.tls is None:
+        yield
+        return
+    given = [context for context in contexts if context is not None]
+    task = asyncio.ensure_future(IdentityReloader(settings.tls, given).run())
+    try:
+        yield
+    finally:
+        task.cancel()
+
+
 @asynccontextmanager
 async def _refreshing(
     metrics: ProcessMetrics, traffic: LinkTraffic
--- a/wasabimux/settings/process.py
+++ b/wasabimux/settings/process.py
@@ -4,8 +4,9 @@
 
 from enum import Enum
 from pathlib import Path
+from typing import Self
 
-from pydantic import Field
+from pydantic import Field, model_validator
 
 from wasabimux.settings.address import Address
 from wasabimux.settings.fleet import Document
@@ -58,6 +59,12 @@
     tls: TlsSettings | None = None
     plain_links: bool = False
 
+    @model_validator(mode="after")
+    def _check_links(self) -> Self:
+        if (self.tls is None) != self.plain_links:
+            raise ValueError("either tls, or plain_links true for links without TLS")
+        return self
+
 
 class EntrySettings(ProcessSettings):
     """Settings of an entry.
--- a/wasabimux/standins/embedded.py
+++ b/wasabimux/standins/embedded.py
@@ -11,15 +11,15 @@
 from wasabimux.adapters.http_server import Handler, HttpServer
 from wasabimux.entry.feed import SETTINGS_KIND, SETTINGS_NAME
 from wasabimux.runtime import RunningAgent, RunningEntry, run_agent, run_entry
+from wasabimux.settings.address import parse_address
 from wasabimux.settings.fleet import FleetSettings, Group, GroupRole, Upstream
 from wasabimux.settings.process import AgentSettings, EntrySettings, UpstreamKind
 from wasabimux.standins.engine import EngineModel, EngineParameters
 from wasabimux.standins.engine_server import EngineServer, fetch_kv_over_http
-from wasabimux.standins.platform import MemoryPlatform
+from wasabimux.standins.platform import MemoryPlatform, PlatformServer
 from wasabimux.standins.service import PlainService
 
-LOOPBACK = "127.0.0.1"
-ANY_PORT = f"{LOOPBACK}:0"
+ANY_PORT = "127.0.0.1:0"
 
 
 class EmbeddedFleet(NamedTuple):
@@ -31,6 +31,7 @@
         engines_by_id: Engines by the id of their upstream.
         services_by_id: Plain services by the id of their upstream.
         platform: The platform.
+        platform_address: Address of the platform's API.
     """
 
     entry: RunningEntry
@@ -38,6 +39,7 @@
     engines_by_id: dict[str, EngineServer]
     services_by_id: dict[str, PlainService]
     platform: MemoryPlatform
+    platform_address: str
 
     async def drain(self) -> bool:
         """Ends all work: callers first, then the agents."""
@@ -52,6 +54,7 @@
     fleet: FleetSettings,
     callers: str = ANY_PORT,
     admin: str = ANY_PORT,
+    platform_api: str = ANY_PORT,
     parameters: EngineParameters = EngineParameters(),
     rng: random.Random | None = None,
 ) -> AsyncGenerator[EmbeddedFleet, None]:
@@ -61,6 +64,7 @@
         fleet: Settings of the fleet; the addresses of agents are replaced.
         callers: Address for callers, as `IP:PORT`.
         admin: Address for operators, as `IP:PORT`.
+        platform_api: Address of the platform's API, as `IP:PORT`.
         parameters: Capacities of the engines.
         rng: Source of random choices.
     """
@@ -71,13 +75,15 @@
         platform = MemoryPlatform()
         value = json.dumps(builder.document()).encode()
         await platform.put(SETTINGS_KIND, SETTINGS_NAME, value, 0)
+        handler = PlatformServer(platform).handle
+        platform_address = await _listen(stack, handler, platform_api)
         settings = EntrySettings(
             instance="entry-embedded",
             failure_domain=fleet.failure_domains[0].id,
             admin=admin,
             callers=callers,
             peers=ANY_PORT,
-            platform=ANY_PORT,
+            platform=platform_address,
             plain_links=True,
         )
         entry = await stack.enter_async_context(
@@ -89,6 +95,7 @@
             builder.engines_by_id,
             builder.services_by_id,
             platform,
+            platform_address,
         )
 
 
@@ -137,7 +144,9 @@
         return document
 
 
-async def _listen(stack: AsyncExitStack, handler: Handler) -> str:
+async def _listen(
+    stack: AsyncExitStack, handler: Handler, address: str = ANY_PORT
+) -> str:
     server = await stack.enter_async_context(HttpServer(handler))
-    host, port = await server.listen(LOOPBACK, 0)
+    host, port = await server.listen(*parse_address(address))
     return f"{host}:{port}"
--- a/wasabimux/standins/virtual_fleet.py
+++ b/wasabimux/standins/virtual_fleet.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import AsyncGenerator, AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -151,6 +152,7 @@
         self._sender = sender
         self._receiver = receiver
         self._last_arrival_s = 0.0
+        self._on_the_way: deque[bytes] = deque()
 
     async def carry(self, end: MemoryChannel, frame: bytes) -> None:
         """Delivers a frame after the delay, never before an earlier one."""
@@ -159,12 +161,14 @@
         self._last_arrival_s = max(loop.time() + delay_s, self._last_arrival_s)
         self._network.frames += 1
         assert end.peer is not None
-        loop.call_at(self._last_arrival_s, _arrive, end.peer, frame)
-
-
-def _arrive(end: MemoryChannel, frame: bytes) -> None:
-    if not end.closed:
-        end.incoming.put_nowait(frame)
+        self._on_the_way.append(frame)
+        loop.call_at(self._last_arrival_s, self._arrive, end.peer)
+
+    def _arrive(self, end: MemoryChannel) -> None:
+        """Delivers the oldest frame; timers of one moment come in any order."""
+        frame = self._on_the_way.popleft()
+        if not end.closed:
+            end.incoming.put_nowait(frame)
 
 
 class PartableStore:
