--- a/wasabimux/settings/check.py
+++ b/wasabimux/settings/check.py
@@ -8,7 +8,7 @@
 
 from expression import Error, Result
 
-from wasabimux.settings.findings import Finding, check_document
+from wasabimux.settings.findings import Finding, check_document, member
 from wasabimux.settings.fleet import (
     FleetSettings,
     GroupRole,
@@ -65,7 +65,7 @@
                 re.compile(getattr(scheme, field))
             except re.error as error:
                 yield Finding(
-                    f"$.schemes.{name}.{field}",
+                    member(member("$.schemes", name), field),
                     str(error),
                     "a regular expression",
                 )
@@ -96,7 +96,7 @@
             yield Finding(f"{place}.id", repr(item.id), "a name used once")
         owner_by_name[item.id] = item.id
         for scheme, name in item.names.items():
-            here = f"{place}.names.{scheme}"
+            here = member(f"{place}.names", scheme)
             if scheme not in schemes:
                 yield Finding(here, repr(scheme), "a declared naming scheme")
                 continue
--- a/wasabimux/settings/findings.py
+++ b/wasabimux/settings/findings.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import json
+import re
 from pathlib import Path
 from typing import Any, NamedTuple, TypeVar
 
 from expression import Error, Ok, Result
 from pydantic import BaseModel, ValidationError
 
+PLAIN_NAME = re.compile(r"[A-Za-z0-9_-]+")
+
 SettingsModel = TypeVar("SettingsModel", bound=BaseModel)
 
 
@@ -29,11 +32,18 @@
         return f"{self.place}: found {self.found}, expected {self.expected}"
 
 
+def member(place: str, name: str) -> str:
+    """Returns the JSON path of a member; quotes names that are no plain words."""
+    if PLAIN_NAME.fullmatch(name):
+        return f"{place}.{name}"
+    return f"{place}[{json.dumps(name)}]"
+
+
 def json_path(parts: tuple[int | str, ...]) -> str:
     """Formats the parts of a place as a JSON path."""
     path = "$"
     for part in parts:
-        path += f"[{part}]" if isinstance(part, int) else f".{part}"
+        path = f"{path}[{part}]" if isinstance(part, int) else member(path, part)
     return path
 
 
--- a/wasabimux/settings/tree.py
+++ b/wasabimux/settings/tree.py
@@ -5,7 +5,7 @@
 from typing import Any, Iterator, NamedTuple
 
 from wasabimux.settings.catalog import SETTINGS, SETTINGS_BY_NAME
-from wasabimux.settings.findings import Finding
+from wasabimux.settings.findings import Finding, member
 from wasabimux.settings.fleet import Branch
 
 ROOT_PATH = "/"
@@ -91,7 +91,7 @@
     branch: Branch, place: str, sealed: frozenset[str]
 ) -> Iterator[Finding]:
     for name, value in branch.set.items():
-        yield from _check_value(f"{place}.set.{name}", name, value, sealed)
+        yield from _check_value(member(f"{place}.set", name), name, value, sealed)
     for field, names in (("unset", branch.unset), ("seal", branch.seal)):
         for index, name in enumerate(names):
             here = f"{place}.{field}[{index}]"
@@ -105,7 +105,7 @@
     for name, child in branch.children.items():
         if not name or "/" in name:
             yield Finding(f"{place}.children", repr(name), "a name without '/'")
-        yield from _check_branch(child, f"{place}.children.{name}", below)
+        yield from _check_branch(child, member(f"{place}.children", name), below)
 
 
 def _check_value(
