Serve workspaces by weighted fair shares; refuse what cannot start in time

Cause: agents queued first come first served, so a workspace that sends four times its rate took the queue; interactive requests waited for a slot until their deadline of 120 s. Change: start-time fair ranks by weight and tokens; a request is refused at once when its expected wait exceeds what its target for the first token leaves.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 bench: $(VENV)/.installed
 	$(BIN)/python -m benchmarks.path
+	$(BIN)/python -m benchmarks.rate
 
 slopes: $(VENV)/.installed
 	$(BIN)/python -m benchmarks.slopes
--- a/wasabimux/agent/calls.py
+++ b/wasabimux/agent/calls.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from wasabimux.agent.capacity import Capacity
+from wasabimux.agent.completions import slot_ask
 from wasabimux.decisions.replies import ReplyLimits, ReplyTable, Verdict
 from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError, refused
 from wasabimux.ids import RequestId
@@ -92,7 +93,7 @@
 
     async def _call_repeatable(self, stream: LinkStream, message: Open) -> None:
         budget_s = message.budget_ms / 1000
-        with await self._capacity.acquire(budget_s, message.patient):
+        with await self._capacity.acquire(slot_ask(message)):
             try:
                 async with (
                     asyncio.timeout(budget_s),
@@ -138,9 +139,7 @@
     async def _run_to_end(self, request_id: RequestId, message: Open) -> Reply:
         """Runs a call to its end, whether or not anyone still waits for it."""
         try:
-            lease = await self._capacity.acquire(
-                message.budget_ms / 1000, message.patient
-            )
+            lease = await self._capacity.acquire(slot_ask(message))
         except RefusedError as error:
             self._replies.withdraw(request_id, _now())
             del self._running_by_id[request_id]
--- a/wasabimux/agent/capacity.py
+++ b/wasabimux/agent/capacity.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from typing import NamedTuple
 
 from wasabimux.decisions.cold_start import ColdStartLimiter
+from wasabimux.decisions.fair_queue import FairRanks
 from wasabimux.decisions.slots import SlotRequest, SlotTable
 from wasabimux.errors import ErrorCode, Ran, RefusedError, refused
 from wasabimux.link.messages import LoadReport
@@ -13,10 +15,31 @@
 #: Requests that may wait for a slot, per slot of a warm upstream.
 QUEUE_PER_SLOT = 8
 
+#: Weight of one request in the moving average of hold times.
+HOLD_WEIGHT = 0.05
+
 #: Time between two looks at whether the upstream can bear more.
 RECHECK_S = 0.05
 
 
+class SlotAsk(NamedTuple):
+    """What a request says when it asks for a slot.
+
+    Attributes:
+        budget_s: Longest useful wait.
+        patient: True for work that comes behind interactive work.
+        workspace: Workspace that the request runs for.
+        weight: Share of the workspace when the upstream is full.
+        cost: Tokens that the request is expected to take.
+    """
+
+    budget_s: float
+    patient: bool = False
+    workspace: str = ""
+    weight: float = 1.0
+    cost: float = 1.0
+
+
 class SlotLease:
     """A slot held by one request; a context manager that releases it.
 
@@ -28,11 +51,13 @@
     def __init__(self, capacity: Capacity, request: SlotRequest) -> None:
         self._capacity = capacity
         self._request = request
+        self._since_s = _now()
 
     def __enter__(self) -> SlotLease:
         return self
 
     def __exit__(self, *exc_info: object) -> None:
+        self._capacity.note_hold(_now() - self._since_s)
         self._capacity.release(self._request)
 
 
@@ -76,6 +101,8 @@
         self._slots = SlotTable(0, 0)
         self._waiters: set[asyncio.Future[None]] = set()
         self._arrivals = 0
+        self._ranks = FairRanks()
+        self._hold_s = 0.0
         self._started = False
         self._shutting_down = False
 
@@ -138,12 +165,24 @@
         self._shutting_down = True
         self._refuse_waiting()
 
-    async def acquire(self, budget_s: float, patient: bool) -> SlotLease:
+    def note_hold(self, hold_s: float) -> None:
+        """Notes how long a slot was held."""
+        if self._hold_s == 0.0:
+            self._hold_s = hold_s
+        self._hold_s += HOLD_WEIGHT * (hold_s - self._hold_s)
+
+    def expected_wait_s(self, rank: tuple[float, ...]) -> float:
+        """Returns the expected wait of a request that asks for a slot now."""
+        slots = self._slots
+        if slots.held < slots.limit:
+            return 0.0
+        return (slots.ahead_of(rank) + 1) * self._hold_s / max(1, slots.limit)
+
+    async def acquire(self, ask: SlotAsk) -> SlotLease:
         """Waits for a slot.
 
         Args:
-            budget_s: Longest time to wait.
-            patient: True for work that comes behind interactive work.
+            ask: What the request says of itself.
 
         Returns:
             The slot, to be used as a context manager.
@@ -153,10 +192,17 @@
         """
         self._check_accepting()
         self._arrivals += 1
-        rank = (float(patient), float(self._arrivals))
+        fair = self._ranks.rank(ask.workspace, ask.cost, ask.weight)
+        rank = (float(ask.patient), fair, float(self._arrivals))
+        wait_s = self.expected_wait_s(rank)
+        if wait_s > ask.budget_s:
+            self._ranks.on_leave(ask.workspace, ask.cost, ask.weight)
+            text = "no slot is expected in time"
+            raise refused(ErrorCode.OVERLOADED, text, Ran.NO, retry_after_s=wait_s)
         granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
         def on_grant() -> None:
+            self._ranks.on_grant(fair)
             if not granted.done():
                 granted.set_result(None)
 
@@ -165,11 +211,15 @@
             raise RefusedError(asked.error)
         self._waiters.add(granted)
         try:
-            async with asyncio.timeout(budget_s):
+            async with asyncio.timeout(ask.budget_s):
                 await granted
         except TimeoutError:
             self._slots.release(asked.ok)
-            raise refused(ErrorCode.DEADLINE, "no slot in time", Ran.NO) from None
+            self._ranks.on_leave(ask.workspace, ask.cost, ask.weight)
+            text = "no slot in time"
+            raise refused(
+                ErrorCode.OVERLOADED, text, Ran.NO, retry_after_s=self._hold_s
+            ) from None
         except BaseException:
             self._slots.release(asked.ok)
             raise
--- a/wasabimux/agent/completions.py
+++ b/wasabimux/agent/completions.py
@@ -6,7 +6,7 @@
 import json
 from typing import NamedTuple
 
-from wasabimux.agent.capacity import Capacity
+from wasabimux.agent.capacity import Capacity, SlotAsk
 from wasabimux.agent.reaper import Reaper
 from wasabimux.errors import ErrorCode, Ran, RefusedError, refused
 from wasabimux.link.messages import (
@@ -35,6 +35,8 @@
 #: End of an answer that is kept to read its usage from.
 TAIL_BYTES = 1024
 
+MIN_WEIGHT = 0.01
+
 CHAT_PATH = "/v1/chat/completions"
 
 
@@ -71,7 +73,7 @@
         """
         budget_s = message.budget_ms / 1000
         run = run_name(message)
-        with await self._capacity.acquire(budget_s, message.patient):
+        with await self._capacity.acquire(slot_ask(message)):
             consumed = False
             try:
                 source = await self._prefill(run, message, budget_s)
@@ -88,9 +90,8 @@
         Raises:
             RefusedError: The request was not decoded to its end.
         """
-        budget_s = message.budget_ms / 1000
         run = run_name(message)
-        with await self._capacity.acquire(budget_s, message.patient):
+        with await self._capacity.acquire(slot_ask(message)):
             stream.send_head(Head(STATUS_GRANTED))
             source = await stream.receive_kv_source()
             with await self._capacity.begin_work(WORK_WAIT_S):
@@ -174,6 +175,18 @@
         return refused(ErrorCode.UPSTREAM_FAILED, refusal.message, ran)
 
 
+def slot_ask(message: Open) -> SlotAsk:
+    """Returns what a message says when it asks for a slot."""
+    budget_ms = message.slot_budget_ms or message.budget_ms
+    return SlotAsk(
+        budget_ms / 1000,
+        message.patient,
+        message.workspace,
+        max(message.weight, MIN_WEIGHT),
+        message.cost,
+    )
+
+
 def run_name(message: Open) -> str:
     """Names the run of one attempt, so that attempts never meet."""
     return f"{message.request_id}.{message.attempt}"
--- a/wasabimux/decisions/slots.py
+++ b/wasabimux/decisions/slots.py
@@ -60,6 +60,14 @@
         """Slots that may be held now."""
         return self._limit
 
+    def ahead_of(self, rank: tuple[float, ...]) -> int:
+        """Returns the number of waiting requests with a lower rank."""
+        return sum(
+            1
+            for request in self._queue
+            if request.state is SlotState.WAITING and request.rank < rank
+        )
+
     def set_limit(self, limit: int) -> None:
         """Changes the limit. Slots already held above it stay held."""
         self._limit = limit
--- a/wasabimux/entry/completions.py
+++ b/wasabimux/entry/completions.py
@@ -20,6 +20,10 @@
 from wasabimux.link.stream import LinkLost, LinkStream, StreamCancelled
 from wasabimux.timeline import Timeline
 
+#: Part of the target for the first token that the waits for a decode slot, and
+#: then for a prefill, may take together.
+SLOT_SHARE = {Operation.RESERVE: 0.5, Operation.PREFILL: 0.8}
+
 PROMPT_FIELDS = ("prompt", "messages")
 
 
@@ -173,7 +177,11 @@
         async with AsyncExitStack() as stack:
             decode_agent = self._choose_decode(context)
             reserve = self._open_message(
-                context, Operation.RESERVE, request, request.decode_body()
+                context,
+                Operation.RESERVE,
+                request,
+                request.decode_body(),
+                cost=request.max_tokens,
             )
             decode = stack.enter_context(self._open(context, decode_agent, reserve))
             await self._head(context, decode, decode_agent)
@@ -193,7 +201,9 @@
     ) -> None:
         body = request.prefill_body()
         agent = self._choose_prefill(context, request)
-        message = self._open_message(context, Operation.PREFILL, request, body)
+        message = self._open_message(
+            context, Operation.PREFILL, request, body, cost=request.prompt_bytes
+        )
         context.sent += 1
         with self._open(context, agent, message) as prefill:
             try:
@@ -289,6 +299,7 @@
         operation: Operation,
         request: CompletionRequest,
         body: bytes,
+        cost: float,
     ) -> Open:
         now = asyncio.get_running_loop().time()
         return Open(
@@ -301,6 +312,9 @@
             target=request.path,
             body=body,
             patient=context.settings.patient,
+            weight=context.weight,
+            cost=cost,
+            slot_budget_ms=context.slot_budget_ms(now, SLOT_SHARE[operation]),
         )
 
     def _open(self, context: RequestContext, agent: PooledAgent, message: Open) -> Any:
--- a/wasabimux/entry/context.py
+++ b/wasabimux/entry/context.py
@@ -11,6 +11,8 @@
 from wasabimux.settings.fleet import Route
 from wasabimux.settings.index import RouteSettings
 
+MIN_SLOT_BUDGET_MS = 1
+
 RAN_ORDER = (Ran.NO, Ran.UNKNOWN, Ran.YES)
 
 
@@ -24,6 +26,7 @@
         route: Where it goes.
         settings: Settings of the route.
         accepted_s: Loop time of its arrival.
+        weight: Share of the workspace when upstreams are full.
         attempt: Number of the present attempt, from 0.
         ran: What is known of all attempts so far.
         tried: Upstreams that have failed it.
@@ -39,6 +42,7 @@
     route: Route
     settings: RouteSettings
     accepted_s: float
+    weight: float = 1.0
     attempt: int = 0
     ran: Ran = Ran.NO
     tried: set[UpstreamId] = field(default_factory=set)
@@ -81,6 +85,19 @@
         """Time left until the deadline."""
         return max(0, round((self.deadline_s - now) * 1000))
 
+    def slot_budget_ms(self, now: float, share: float) -> int:
+        """Time for which a wait for a slot is useful.
+
+        Args:
+            now: Present time in s.
+            share: Part of the target for the first token that waits may take.
+        """
+        if self.settings.patient:
+            return self.budget_ms(now)
+        target_s = self.settings.first_token_target_s * share
+        left_ms = round((self.accepted_s + target_s - now) * 1000)
+        return min(max(MIN_SLOT_BUDGET_MS, left_ms), self.budget_ms(now))
+
     def age_ms(self, now: float) -> int:
         """Time since the arrival."""
         return max(0, round((now - self.accepted_s) * 1000)) + self.extra_age_ms
--- a/wasabimux/entry/entry.py
+++ b/wasabimux/entry/entry.py
@@ -332,12 +332,18 @@
             route,
             index.route_settings(route),
             request.arrived_s,
+            self._weight_of(caller, index),
         )
         self.timeline.record(
             "accepted", context.request_id, context.workspace, route=route.id
         )
         return context
 
+    def _weight_of(self, caller: Caller, index: FleetIndex) -> float:
+        if caller.workspace is None:
+            return 1.0
+        return index.workspace_settings(caller.workspace).weight
+
     def _on_settings(self, index: FleetIndex) -> None:
         now = asyncio.get_running_loop().time()
         self.pool.apply(index)
--- a/wasabimux/link/codec.py
+++ b/wasabimux/link/codec.py
@@ -100,6 +100,9 @@
     open_.body = message.body
     open_.patient = message.patient
     open_.repeatable = message.repeatable
+    open_.weight = message.weight
+    open_.cost = message.cost
+    open_.slotBudgetMs = min(max(message.slot_budget_ms, 0), MS_MAX)
 
 
 def _encode_head(builder: Any, message: Head) -> None:
@@ -274,6 +277,9 @@
         body=open_.body,
         patient=open_.patient,
         repeatable=open_.repeatable,
+        weight=open_.weight,
+        cost=open_.cost,
+        slot_budget_ms=open_.slotBudgetMs,
     )
 
 
--- a/wasabimux/link/messages.py
+++ b/wasabimux/link/messages.py
@@ -51,6 +51,9 @@
         body: Body of the request.
         patient: True for work that may wait.
         repeatable: True if the call may run more than once.
+        weight: Share of the workspace when the upstream is full.
+        cost: Tokens that the request is expected to take.
+        slot_budget_ms: Longest useful wait for a slot.
     """
 
     operation: Operation
@@ -66,6 +69,9 @@
     body: bytes = b""
     patient: bool = False
     repeatable: bool = False
+    weight: float = 1.0
+    cost: float = 1.0
+    slot_budget_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/wasabimux/link/wire.capnp
+++ b/wasabimux/link/wire.capnp
@@ -64,6 +64,9 @@
   body @10 :Data;
   patient @11 :Bool;
   repeatable @12 :Bool;   # the call may run more than once
+  weight @13 :Float32 = 1; # share of the workspace when the upstream is full
+  cost @14 :Float32;      # tokens that the request is expected to take
+  slotBudgetMs @15 :UInt32; # longest useful wait for a slot
 }
 
 struct Head {
--- a/wasabimux/settings/index.py
+++ b/wasabimux/settings/index.py
@@ -26,12 +26,14 @@
         max_output_tokens: Largest limit on output tokens.
         patient: True for work that may wait.
         repeat: Which calls may be sent again.
+        first_token_target_s: Time within which the first token is due.
     """
 
     deadline_s: float
     max_output_tokens: int
     patient: bool
     repeat: Repeat
+    first_token_target_s: float
 
 
 class WorkspaceSettings(NamedTuple):
@@ -135,6 +137,7 @@
             values["max_output_tokens"],
             values["urgency"] is Urgency.PATIENT,
             values["repeat"],
+            values["first_token_target_s"],
         )
 
     def has_workspace(self, workspace: str) -> bool:
