--- a/wasabimux/entry/peers.py
+++ b/wasabimux/entry/peers.py
@@ -87,7 +87,7 @@
         if task is None:
             task = asyncio.ensure_future(self._link(address))
             self._connecting[address] = task
-            task.add_done_callback(lambda _: self._connecting.pop(address, None))
+            task.add_done_callback(lambda done: self._on_connected(address, done))
         return await asyncio.shield(task)
 
     async def probe(self, address: str, incarnation: int) -> PeerLife:
@@ -108,6 +108,12 @@
             return PeerLife.DEAD
         return PeerLife.ALIVE
 
+    def _on_connected(self, address: str, done: asyncio.Task[Link]) -> None:
+        """Forgets an attempt, whose waiters may all have given up."""
+        self._connecting.pop(address, None)
+        if not done.cancelled():
+            done.exception()
+
     async def _link(self, address: str) -> Link:
         channel = await self._connect(*parse_address(address))
         link = self._start(channel, initiator=True)
--- a/wasabimux/standins/virtual_fleet.py
+++ b/wasabimux/standins/virtual_fleet.py
@@ -308,7 +308,7 @@
         self._engine_by_address: dict[str, EngineModel] = {}
         self._tasks_by_entry: dict[str, set[asyncio.Task[Any]]] = {}
         self._role_by_group = {group.id: group.role for group in fleet.groups}
-        self._settings_version = 0
+        self.settings_version = 0
         self._next_port = 20_000
 
     async def __aenter__(self) -> VirtualFleet:
@@ -330,8 +330,8 @@
         """Writes settings to the platform."""
         self.settings = settings
         value = settings.model_dump_json().encode()
-        self._settings_version = await self.platform.put(
-            SETTINGS_KIND, SETTINGS_NAME, value, self._settings_version
+        self.settings_version = await self.platform.put(
+            SETTINGS_KIND, SETTINGS_NAME, value, self.settings_version
         )
 
     async def until_ready(self) -> None:
