--- a/wasabimux/adapters/admin.py
+++ b/wasabimux/adapters/admin.py
@@ -4,7 +4,7 @@
 
 import hmac
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from aioprometheus import REGISTRY, render
@@ -20,7 +20,7 @@
     Args:
         status: Returns the state of the process as JSON values.
         ready: Tells whether the process takes work.
-        timeline: Events of the process.
+        timelines: Events of the process, and of others on the same loop.
         token: Operators' credential, None where none is asked for.
         registry: Metrics of the process.
     """
@@ -29,13 +29,13 @@
         self,
         status: Callable[[], dict[str, Any]],
         ready: Callable[[], bool],
-        timeline: Timeline,
+        timelines: Sequence[Timeline],
         token: str | None = None,
         registry: Registry = REGISTRY,
     ) -> None:
         self._status = status
         self._ready = ready
-        self._timeline = timeline
+        self._timelines = timelines
         self._token = token
         self._registry = registry
 
@@ -66,12 +66,14 @@
         return hmac.compare_digest(given, f"Bearer {self._token}".encode())
 
     def _events(self, query: dict[str, str]) -> list[dict[str, Any]]:
-        events = self._timeline.events(
-            query.get("request", ""),
-            query.get("workspace", ""),
-            int(query.get("since_ms", "0") or "0"),
-        )
-        return [event._asdict() for event in events]
+        request, workspace = query.get("request", ""), query.get("workspace", "")
+        since_ms = int(query.get("since_ms", "0") or "0")
+        events = [
+            event
+            for timeline in self._timelines
+            for event in timeline.events(request, workspace, since_ms)
+        ]
+        return [event._asdict() for event in sorted(events)]
 
 
 def _json_response(status: int, value: object) -> HttpResponse:
--- a/wasabimux/runtime.py
+++ b/wasabimux/runtime.py
@@ -8,7 +8,7 @@
 import random
 import signal
 import ssl
-from collections.abc import AsyncGenerator, Awaitable, Callable, Generator
+from collections.abc import AsyncGenerator, Awaitable, Callable, Generator, Sequence
 from contextlib import asynccontextmanager, closing, contextmanager
 from typing import Any, NamedTuple
 
@@ -76,7 +76,10 @@
 
 @asynccontextmanager
 async def run_entry(
-    settings: EntrySettings, store: Store, rng: random.Random
+    settings: EntrySettings,
+    store: Store,
+    rng: random.Random,
+    other_timelines: Sequence[Timeline] = (),
 ) -> AsyncGenerator[RunningEntry, None]:
     """Runs an entry with its ports.
 
@@ -84,6 +87,7 @@
         settings: Settings of the process.
         store: The platform's store.
         rng: Source of random choices.
+        other_timelines: Events of other roles on the same loop, shown with its own.
     """
     timeline, registry, metrics = _observability(settings)
     tls = client_context(settings.tls) if settings.tls else None
@@ -112,7 +116,7 @@
     admin_handler = AdminHandler(
         lambda: entry_status(entry, settings),
         ready,
-        timeline,
+        [timeline, *other_timelines],
         secret_from(settings.admin_token_env),
         registry,
     )
@@ -155,7 +159,7 @@
     admin_handler = AdminHandler(
         lambda: agent_status(agent, settings),
         lambda: capacity.accepting,
-        timeline,
+        [timeline],
         secret_from(settings.admin_token_env),
         registry,
     )
--- a/wasabimux/standins/embedded.py
+++ b/wasabimux/standins/embedded.py
@@ -87,7 +87,12 @@
             plain_links=True,
         )
         entry = await stack.enter_async_context(
-            run_entry(settings, platform, rng or random.Random())
+            run_entry(
+                settings,
+                platform,
+                rng or random.Random(),
+                [item.agent.timeline for item in builder.agents_by_id.values()],
+            )
         )
         yield EmbeddedFleet(
             entry,
