--- a/wasabimux/agent/agent.py
+++ b/wasabimux/agent/agent.py
@@ -6,6 +6,7 @@
 import logging
 from typing import Protocol
 
+from wasabimux._clock import loop_time
 from wasabimux.agent.calls import CallWorker
 from wasabimux.agent.capacity import Capacity
 from wasabimux.agent.completions import CompletionWorker
@@ -96,7 +97,7 @@
             except (UpstreamLost, EngineRefused, OSError, TimeoutError):
                 cold = True
             if cold:
-                self._capacity.on_cold(asyncio.get_running_loop().time())
+                self._capacity.on_cold(loop_time())
             await asyncio.sleep(COLD_POLL_S)
 
 
@@ -233,7 +234,7 @@
                 link.send(0, self._newest)
             return
         view = AgentView.model_validate_json(update.value)
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         if update.version > self.capacity.version:
             self.timeline.record("settings_in_force", version=update.version)
             self._newest = update
--- a/wasabimux/agent/calls.py
+++ b/wasabimux/agent/calls.py
@@ -7,10 +7,11 @@
 
 import xxhash
 
-from wasabimux.agent.capacity import Capacity
-from wasabimux.agent.completions import slot_ask
+from wasabimux._clock import loop_time
+from wasabimux.agent.capacity import Capacity, slot_ask
 from wasabimux.decisions.replies import ReplyLimits, ReplyTable, Verdict
 from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError, refused
+from wasabimux.headers import end_to_end_headers
 from wasabimux.ids import RequestId
 from wasabimux.link.messages import End, Head, Open
 from wasabimux.link.stream import LinkStream
@@ -20,18 +21,6 @@
 #: Largest answer that is kept for a call that must not run twice.
 MAX_KEPT_REPLY_BYTES = 1024 * 1024
 
-HOP_BY_HOP_HEADERS = frozenset(
-    {
-        b"connection",
-        b"content-length",
-        b"keep-alive",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
-
 
 class Reply(NamedTuple):
     """The outcome of a call: an answer, or how it failed."""
@@ -104,18 +93,18 @@
                     async for piece in answer.pieces():
                         await stream.send_data(piece)
             except UpstreamLost as error:
-                self._capacity.on_cold(_now())
+                self._capacity.on_cold(loop_time())
                 ran = Ran.UNKNOWN if error.sent else Ran.NO
                 raise refused(ErrorCode.UPSTREAM_FAILED, str(error), ran)
             except TimeoutError:
                 raise refused(ErrorCode.DEADLINE, "the call took too long", Ran.UNKNOWN)
-        self._capacity.on_success(_now())
+        self._capacity.on_success(loop_time())
         stream.send_end(End())
 
     async def _call_once(self, message: Open) -> Reply:
         request_id = RequestId(message.request_id)
         admitted = self._replies.admit(
-            request_id, _fingerprint(message), message.age_ms / 1000, _now()
+            request_id, _fingerprint(message), message.age_ms / 1000, loop_time()
         )
         if admitted.is_error():
             raise RefusedError(admitted.error)
@@ -141,16 +130,16 @@
         try:
             lease = await self._capacity.acquire(slot_ask(message))
         except RefusedError as error:
-            self._replies.withdraw(request_id, _now())
+            self._replies.withdraw(request_id, loop_time())
             del self._running_by_id[request_id]
             return Reply(refusal=error.refusal)
         with lease:
             reply = await self._send(message)
         del self._running_by_id[request_id]
         if reply.refusal is not None and reply.refusal.ran is Ran.NO:
-            self._replies.withdraw(request_id, _now())
+            self._replies.withdraw(request_id, loop_time())
         else:
-            self._replies.finish(request_id, reply, len(reply.body), _now())
+            self._replies.finish(request_id, reply, len(reply.body), loop_time())
         return reply
 
     async def _send(self, message: Open) -> Reply:
@@ -162,7 +151,7 @@
             ):
                 body = b"".join([piece async for piece in answer.pieces()])
         except UpstreamLost as error:
-            self._capacity.on_cold(_now())
+            self._capacity.on_cold(loop_time())
             ran = Ran.UNKNOWN if error.sent else Ran.NO
             return Reply(refusal=Refusal(ErrorCode.UPSTREAM_LOST, str(error), ran))
         except TimeoutError:
@@ -171,15 +160,10 @@
         if len(body) > MAX_KEPT_REPLY_BYTES:
             text = "the answer is too large to be kept"
             return Reply(refusal=Refusal(ErrorCode.TOO_LARGE, text, Ran.YES))
-        self._capacity.on_success(_now())
+        self._capacity.on_success(loop_time())
         return Reply(answer.status, end_to_end_headers(answer.headers), body)
 
 
-def end_to_end_headers(headers: Headers) -> Headers:
-    """Drops the headers that concern one connection only."""
-    return [item for item in headers if item[0] not in HOP_BY_HOP_HEADERS]
-
-
 def _plain_call(message: Open) -> PlainCall:
     headers = [
         *message.headers,
@@ -197,7 +181,3 @@
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.intdigest()
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/wasabimux/agent/capacity.py
+++ b/wasabimux/agent/capacity.py
@@ -5,16 +5,20 @@
 import asyncio
 from typing import NamedTuple
 
+from wasabimux._clock import loop_time
 from wasabimux.decisions.cold_start import ColdStartLimiter
 from wasabimux.decisions.fair_queue import FairRanks
 from wasabimux.decisions.slots import SlotRequest, SlotTable
 from wasabimux.errors import ErrorCode, Ran, RefusedError, refused
-from wasabimux.link.messages import LoadReport
+from wasabimux.link.messages import LoadReport, Open
 from wasabimux.settings.views import AgentView
 
 #: Requests that may wait for a slot, per slot of a warm upstream.
 QUEUE_PER_SLOT = 8
 
+#: Smallest weight that a request may have.
+MIN_WEIGHT = 0.01
+
 #: Weight of one request in the moving average of hold times.
 HOLD_WEIGHT = 0.05
 
@@ -51,13 +55,13 @@
     def __init__(self, capacity: Capacity, request: SlotRequest) -> None:
         self._capacity = capacity
         self._request = request
-        self._since_s = _now()
+        self._since_s = loop_time()
 
     def __enter__(self) -> SlotLease:
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        self._capacity.note_hold(_now() - self._since_s)
+        self._capacity.note_hold(loop_time() - self._since_s)
         self._capacity.release(self._request)
 
 
@@ -267,14 +271,14 @@
     def on_step(self, interval_s: float) -> None:
         """Notes the time between two tokens of one answer."""
         if self._limiter is not None:
-            now = _now()
+            now = loop_time()
             self._limiter.on_step(interval_s, now)
             self._refresh(now)
 
     def _can_bear_more(self) -> bool:
         if self._limiter is None:
             return False
-        return self.working < self._limiter.limit_now(_now())
+        return self.working < self._limiter.limit_now(loop_time())
 
     def release(self, request: SlotRequest) -> None:
         """Gives a slot back."""
@@ -311,5 +315,13 @@
                 granted.set_exception(error)
 
 
-def _now() -> float:
-    return asyncio.get_running_loop().time()
+def slot_ask(message: Open) -> SlotAsk:
+    """Returns what a message says when it asks for a slot."""
+    budget_ms = message.slot_budget_ms or message.budget_ms
+    return SlotAsk(
+        budget_ms / 1000,
+        message.patient,
+        message.workspace,
+        max(message.weight, MIN_WEIGHT),
+        message.cost,
+    )
--- a/wasabimux/agent/completions.py
+++ b/wasabimux/agent/completions.py
@@ -6,7 +6,8 @@
 import json
 from typing import NamedTuple
 
-from wasabimux.agent.capacity import Capacity, SlotAsk
+from wasabimux._clock import loop_time
+from wasabimux.agent.capacity import Capacity, slot_ask
 from wasabimux.agent.reaper import Reaper
 from wasabimux.errors import ErrorCode, Ran, RefusedError, refused
 from wasabimux.link.messages import (
@@ -35,8 +36,6 @@
 #: End of an answer that is kept to read its usage from.
 TAIL_BYTES = 1024
 
-MIN_WEIGHT = 0.01
-
 CHAT_PATH = "/v1/chat/completions"
 
 
@@ -96,7 +95,7 @@
             source = await stream.receive_kv_source()
             with await self._capacity.begin_work(WORK_WAIT_S):
                 usage = await self._import_and_decode(run, source, stream, message)
-        self._capacity.on_success(_now())
+        self._capacity.on_success(loop_time())
         stream.send_end(End(None, usage.prompt_tokens, usage.output_tokens))
 
     async def _import_and_decode(
@@ -122,9 +121,9 @@
         except EngineRefused as refusal:
             raise self._refusal_from(refusal, Ran.NO)
         except (UpstreamLost, OSError) as error:
-            self._capacity.on_cold(_now())
+            self._capacity.on_cold(loop_time())
             raise refused(ErrorCode.UPSTREAM_FAILED, str(error), Ran.YES)
-        self._capacity.on_success(_now())
+        self._capacity.on_success(loop_time())
         return KvSource(
             result.source, result.handle, result.prompt_tokens, result.cached_tokens
         )
@@ -138,30 +137,30 @@
         except EngineRefused as refusal:
             raise self._refusal_from(refusal, Ran.YES)
         except (UpstreamLost, OSError) as error:
-            self._capacity.on_cold(_now())
+            self._capacity.on_cold(loop_time())
             raise refused(ErrorCode.UPSTREAM_FAILED, str(error), Ran.YES)
 
     async def _decode(self, run: str, stream: LinkStream, message: Open) -> Usage:
         chat = message.target == CHAT_PATH
         pieces = self._engine.decode(run, message.body, chat)
         tail = b""
-        last_s = _now()
+        last_s = loop_time()
         try:
             while True:
                 async with asyncio.timeout(TOKEN_TIMEOUT_S):
                     piece = await anext(pieces, None)
                 if piece is None:
                     return read_usage(tail)
-                self._capacity.on_step(_now() - last_s)
+                self._capacity.on_step(loop_time() - last_s)
                 tail = (tail + piece)[-TAIL_BYTES:]
                 await stream.send_data(piece)
-                last_s = _now()
+                last_s = loop_time()
         except TimeoutError:
             raise refused(ErrorCode.UPSTREAM_FAILED, "the engine is silent", Ran.YES)
         except EngineRefused as refusal:
             raise self._refusal_from(refusal, Ran.YES)
         except (UpstreamLost, OSError) as error:
-            self._capacity.on_cold(_now())
+            self._capacity.on_cold(loop_time())
             raise refused(ErrorCode.UPSTREAM_FAILED, str(error), Ran.YES)
         finally:
             await pieces.aclose()
@@ -175,18 +174,6 @@
         return refused(ErrorCode.UPSTREAM_FAILED, refusal.message, ran)
 
 
-def slot_ask(message: Open) -> SlotAsk:
-    """Returns what a message says when it asks for a slot."""
-    budget_ms = message.slot_budget_ms or message.budget_ms
-    return SlotAsk(
-        budget_ms / 1000,
-        message.patient,
-        message.workspace,
-        max(message.weight, MIN_WEIGHT),
-        message.cost,
-    )
-
-
 def run_name(message: Open) -> str:
     """Names the run of one attempt, so that attempts never meet."""
     return f"{message.request_id}.{message.attempt}"
@@ -211,7 +198,3 @@
     while isinstance(item, Data):
         item = await stream.receive()
     return isinstance(item, End) and item.refusal is None
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/wasabimux/cli/tool.py
+++ b/wasabimux/cli/tool.py
@@ -2,44 +2,39 @@
 
 from __future__ import annotations
 
-import asyncio
 import datetime
 import json
-import os
 import sys
-from collections.abc import Callable, Coroutine
 from pathlib import Path
-from typing import Any, NoReturn, TypeVar
 
 from cyclopts import App, CycloptsError
-from rich.console import Console
-from rich.table import Table
 
 from wasabimux.adapters.certificates import Authority
-from wasabimux.adapters.http_client import HttpClient
-from wasabimux.adapters.platform_client import PlatformClient
+from wasabimux.cli._session import (
+    ADMIN_TOKEN_VARIABLE,
+    ADMIN_VARIABLE,
+    EXIT_MISUSED,
+    PLATFORM_TOKEN_VARIABLE,
+    PLATFORM_VARIABLE,
+    admin_addresses,
+    admin_page,
+    change,
+    clock_time,
+    fail,
+    find_id,
+    print_rows,
+    read_json,
+    read_settings,
+    report,
+    with_editor,
+)
 from wasabimux.operations import changes
-from wasabimux.operations.editor import Document, EditRefused, SettingsEditor, Version
-from wasabimux.operations.names import find, shown_name
-from wasabimux.ports import Headers, StoreUnavailable, UpstreamLost
-from wasabimux.settings.address import parse_address
+from wasabimux.operations.names import shown_name
 from wasabimux.settings.check import check_fleet
 from wasabimux.settings.findings import Finding
 from wasabimux.settings.fleet import Branch, DomainState, UpstreamState
 from wasabimux.settings.tree import effective, explain
 
-EXIT_FAILED = 1
-EXIT_MISUSED = 2
-
-PLATFORM_VARIABLE = "WASABIMUX_PLATFORM"
-PLATFORM_TOKEN_VARIABLE = "WASABIMUX_PLATFORM_TOKEN"
-ADMIN_VARIABLE = "WASABIMUX_ADMIN"
-ADMIN_TOKEN_VARIABLE = "WASABIMUX_ADMIN_TOKEN"
-DEFAULT_ADMIN = "127.0.0.1:8081"
-DEFAULT_PLATFORM = "127.0.0.1:8082"
-
-Answer = TypeVar("Answer")
-
 HELP = f"""Operates a wasabimux fleet.
 
 {PLATFORM_VARIABLE} holds the address of the platform's API and {ADMIN_VARIABLE} the
@@ -66,9 +61,9 @@
     Args:
         fleet: Settings of the fleet, a JSON file.
     """
-    checked = check_fleet(_read_json(fleet))
+    checked = check_fleet(read_json(fleet))
     if checked.is_error():
-        _fail(checked.error)
+        fail(checked.error)
     print(f"{fleet}: no findings")
 
 
@@ -82,15 +77,15 @@
         branch: Path of the branch.
         json_: Print JSON.
     """
-    tree = Branch.model_validate(_read().document.get("tree", {}))
+    tree = Branch.model_validate(read_settings().document.get("tree", {}))
     try:
         values = effective(tree, branch)
     except KeyError:
-        _fail([Finding(branch, "nothing", "a branch")])
+        fail([Finding(branch, "nothing", "a branch")])
     rows = [
         [name, str(getattr(value, "value", value))] for name, value in values.items()
     ]
-    _print_rows(["setting", "value"], rows, json_)
+    print_rows(["setting", "value"], rows, json_)
 
 
 @settings_app.command(name="explain")
@@ -104,14 +99,14 @@
         branch: Path of the branch.
         json_: Print JSON.
     """
-    tree = Branch.model_validate(_read().document.get("tree", {}))
+    tree = Branch.model_validate(read_settings().document.get("tree", {}))
     try:
         found = explain(tree, branch, name)
     except KeyError as error:
-        _fail([Finding(str(error.args[0]), "nothing", "a branch or a setting")])
+        fail([Finding(str(error.args[0]), "nothing", "a branch or a setting")])
     rows = [["in force", found.branch, str(found.value)]]
     rows += [["overridden", place, str(value)] for place, value in found.overridden]
-    _print_rows(["", "branch", "value"], rows, json_)
+    print_rows(["", "branch", "value"], rows, json_)
 
 
 @settings_app.command(name="set")
@@ -128,7 +123,7 @@
         branch: Path of the branch.
         dry_run: Check only.
     """
-    _change(lambda doc: changes.set_value(doc, branch, name, value), dry_run)
+    change(lambda doc: changes.set_value(doc, branch, name, value), dry_run)
 
 
 @settings_app.command
@@ -142,7 +137,7 @@
         branch: Path of the branch.
         dry_run: Check only.
     """
-    _change(lambda doc: changes.unset_value(doc, branch, name), dry_run)
+    change(lambda doc: changes.unset_value(doc, branch, name), dry_run)
 
 
 @settings_app.command
@@ -156,11 +151,11 @@
         expected: Version that the file was made from.
         dry_run: Check only.
     """
-    document = _read_json(fleet)
+    document = read_json(fleet)
     if dry_run:
         check(fleet)
         return
-    _report(_with_editor(lambda editor: editor.apply(document, expected)))
+    report(with_editor(lambda editor: editor.apply(document, expected)))
 
 
 @workspace_app.command(name="list")
@@ -175,9 +170,9 @@
     """
     rows = [
         [shown_name(item, scheme), item["id"], item.get("branch", "/")]
-        for item in _read().document.get("workspaces", [])
+        for item in read_settings().document.get("workspaces", [])
     ]
-    _print_rows(["name", "id", "branch"], rows, json_)
+    print_rows(["name", "id", "branch"], rows, json_)
 
 
 @workspace_app.command(name="create")
@@ -191,7 +186,7 @@
         branch: Place in the tree of settings.
         dry_run: Check only.
     """
-    _change(lambda doc: changes.create_workspace(doc, name, branch), dry_run)
+    change(lambda doc: changes.create_workspace(doc, name, branch), dry_run)
 
 
 @workspace_app.command(name="rename")
@@ -205,7 +200,7 @@
         new: The new name.
         dry_run: Check only.
     """
-    _change(lambda doc: changes.rename(doc, "workspaces", name, new), dry_run)
+    change(lambda doc: changes.rename(doc, "workspaces", name, new), dry_run)
 
 
 @key_app.command(name="grant")
@@ -218,7 +213,7 @@
         workspace: Name of the workspace in any scheme.
     """
     key = changes.new_key()
-    _change(lambda doc: changes.grant_key(doc, workspace, key), dry_run=False)
+    change(lambda doc: changes.grant_key(doc, workspace, key), dry_run=False)
     print(key)
 
 
@@ -233,9 +228,9 @@
     """
     rows = [
         [key["digest"][:12], key["workspace"], key.get("state", "granted")]
-        for key in _read().document.get("keys", [])
+        for key in read_settings().document.get("keys", [])
     ]
-    _print_rows(["digest", "workspace", "state"], rows, json_)
+    print_rows(["digest", "workspace", "state"], rows, json_)
 
 
 @key_app.command(name="revoke")
@@ -248,7 +243,7 @@
         digest: Start of the key's digest, as `key list` prints it.
         dry_run: Check only.
     """
-    _change(lambda doc: changes.withdraw_key(doc, digest), dry_run)
+    change(lambda doc: changes.withdraw_key(doc, digest), dry_run)
 
 
 @domain_app.command(name="take-out")
@@ -261,7 +256,7 @@
         name: Name in any scheme.
         dry_run: Check only.
     """
-    _change(lambda doc: changes.set_domain_state(doc, name, DomainState.OUT), dry_run)
+    change(lambda doc: changes.set_domain_state(doc, name, DomainState.OUT), dry_run)
 
 
 @domain_app.command(name="bring-back")
@@ -275,7 +270,7 @@
         dry_run: Check only.
     """
     state = DomainState.IN_SERVICE
-    _change(lambda doc: changes.set_domain_state(doc, name, state), dry_run)
+    change(lambda doc: changes.set_domain_state(doc, name, state), dry_run)
 
 
 @domain_app.command(name="list")
@@ -290,9 +285,9 @@
     """
     rows = [
         [shown_name(item, scheme), item.get("state", DomainState.IN_SERVICE.value)]
-        for item in _read().document.get("failure_domains", [])
+        for item in read_settings().document.get("failure_domains", [])
     ]
-    _print_rows(["name", "state"], rows, json_)
+    print_rows(["name", "state"], rows, json_)
 
 
 @upstream_app.command
@@ -306,7 +301,7 @@
         dry_run: Check only.
     """
     state = UpstreamState.DRAINING
-    _change(lambda doc: changes.set_upstream_state(doc, upstream, state), dry_run)
+    change(lambda doc: changes.set_upstream_state(doc, upstream, state), dry_run)
 
 
 @upstream_app.command
@@ -320,7 +315,7 @@
         dry_run: Check only.
     """
     state = UpstreamState.ACTIVE
-    _change(lambda doc: changes.set_upstream_state(doc, upstream, state), dry_run)
+    change(lambda doc: changes.set_upstream_state(doc, upstream, state), dry_run)
 
 
 @app.command
@@ -332,7 +327,7 @@
     Args:
         json_: Print JSON.
     """
-    found = [_admin(address, "/status") for address in _admin_addresses()]
+    found = [admin_page(address, "/status") for address in admin_addresses()]
     if json_:
         print(json.dumps(found))
         return
@@ -345,7 +340,7 @@
                 rows.append(
                     [item["instance"], group, agent["upstream"], accepting, load]
                 )
-    _print_rows(["entry", "group", "upstream", "accepting", "load"], rows, json_)
+    print_rows(["entry", "group", "upstream", "accepting", "load"], rows, json_)
 
 
 @app.command
@@ -363,14 +358,14 @@
         json_: Print JSON.
     """
     if workspace:
-        workspace = _find_id("workspaces", workspace)
+        workspace = find_id("workspaces", workspace)
     now_ms = round(datetime.datetime.now().timestamp() * 1000)
     since_ms = now_ms - round(since * 1000)
     query = f"?request={request}&workspace={workspace}&since_ms={since_ms}"
     events = [
         event
-        for address in _admin_addresses()
-        for event in _admin(address, f"/timeline{query}")
+        for address in admin_addresses()
+        for event in admin_page(address, f"/timeline{query}")
     ]
     events.sort(key=lambda event: event["stamp"])
     if json_:
@@ -378,7 +373,7 @@
         return
     rows = [
         [
-            _clock_time(event["stamp"]),
+            clock_time(event["stamp"]),
             event["instance"],
             event["name"],
             event["request_id"],
@@ -386,7 +381,7 @@
         ]
         for event in events
     ]
-    _print_rows(["time", "instance", "event", "request", "details"], rows, json_)
+    print_rows(["time", "instance", "event", "request", "details"], rows, json_)
 
 
 @app.command
@@ -410,113 +405,6 @@
             print(path)
 
 
-def _clock_time(stamp: int) -> str:
-    seconds = (stamp >> 16) / 1000
-    return datetime.datetime.fromtimestamp(seconds).isoformat(timespec="milliseconds")
-
-
-def _read_json(path: Path) -> Any:
-    try:
-        return json.loads(path.read_bytes())
-    except (OSError, ValueError) as error:
-        print(f"{path}: {error}", file=sys.stderr)
-        sys.exit(EXIT_MISUSED)
-
-
-def _with_editor(
-    work: Callable[[SettingsEditor], Coroutine[Any, Any, Answer]],
-) -> Answer:
-    """Runs work on the settings in the platform's store."""
-
-    async def run() -> Answer:
-        address = os.environ.get(PLATFORM_VARIABLE, DEFAULT_PLATFORM)
-        token = os.environ.get(PLATFORM_TOKEN_VARIABLE)
-        async with PlatformClient(*parse_address(address), token) as store:
-            return await work(SettingsEditor(store))
-
-    try:
-        return asyncio.run(run())
-    except StoreUnavailable as error:
-        print(f"the platform gave no answer: {error}", file=sys.stderr)
-        sys.exit(EXIT_FAILED)
-
-
-def _read() -> Version:
-    return _with_editor(lambda editor: editor.read())
-
-
-def _find_id(field: str, name: str) -> str:
-    try:
-        return str(find(_read().document, field, name)["id"])
-    except EditRefused as refusal:
-        _fail(refusal.findings)
-
-
-def _change(edit: Callable[[Document], None], dry_run: bool) -> None:
-    """Makes a change, or only checks it, and says what came of it."""
-    if not dry_run:
-        _report(_with_editor(lambda editor: editor.edit(edit)))
-        return
-    document = _read().document
-    try:
-        edit(document)
-    except EditRefused as refusal:
-        _fail(refusal.findings)
-    checked = check_fleet(document)
-    if checked.is_error():
-        _fail(checked.error)
-    print("the change would be accepted", file=sys.stderr)
-
-
-def _report(result: Any) -> None:
-    if result.is_error():
-        _fail(result.error)
-    print(f"accepted as version {result.ok.number}", file=sys.stderr)
-
-
-def _fail(findings: list[Finding]) -> NoReturn:
-    for finding in findings:
-        print(finding, file=sys.stderr)
-    sys.exit(EXIT_FAILED)
-
-
-def _admin_addresses() -> list[str]:
-    return os.environ.get(ADMIN_VARIABLE, DEFAULT_ADMIN).split(",")
-
-
-def _admin(address: str, target: str) -> Any:
-    """Reads a page of a daemon's admin port."""
-    token = os.environ.get(ADMIN_TOKEN_VARIABLE)
-    headers: Headers = []
-    if token is not None:
-        headers.append((b"authorization", f"Bearer {token}".encode()))
-
-    async def run() -> Any:
-        async with HttpClient(*parse_address(address)) as client:
-            response = await client.request("GET", target, headers)
-            async with response:
-                body = await response.body()
-            if response.status != 200:
-                raise UpstreamLost(f"status {response.status}", sent=True)
-            return json.loads(body)
-
-    try:
-        return asyncio.run(run())
-    except (OSError, UpstreamLost) as error:
-        print(f"{address}: {error}", file=sys.stderr)
-        sys.exit(EXIT_FAILED)
-
-
-def _print_rows(columns: list[str], rows: list[list[str]], as_json: bool) -> None:
-    if as_json:
-        print(json.dumps([dict(zip(columns, row)) for row in rows]))
-        return
-    table = Table(*columns)
-    for row in rows:
-        table.add_row(*row)
-    Console().print(table)
-
-
 def main() -> None:
     """Runs the command line; exits with 2 when it is misused."""
     try:
--- a/wasabimux/entry/attempts.py
+++ b/wasabimux/entry/attempts.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
+from wasabimux._clock import loop_time
 from wasabimux.decisions.retry import MAX_ATTEMPTS, RetryBudget, backoff_s
 from wasabimux.entry.context import RequestContext
 from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError, refused
@@ -99,7 +100,7 @@
             return False
         if failure.ran is not Ran.NO and not repeatable:
             return False
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         if context.attempt + 1 >= MAX_ATTEMPTS or now >= context.deadline_s:
             return False
         return self._budget.try_spend()
--- a/wasabimux/entry/calls.py
+++ b/wasabimux/entry/calls.py
@@ -11,13 +11,14 @@
 
 import xxhash
 
+from wasabimux._clock import loop_time
 from wasabimux.adapters.http_server import HttpResponse
-from wasabimux.agent.calls import end_to_end_headers
 from wasabimux.decisions.placement import PlacementPolicy
 from wasabimux.entry.attempts import Attempts, no_upstream
 from wasabimux.entry.context import RequestContext
 from wasabimux.entry.pool import AgentPool, PooledAgent
 from wasabimux.errors import ErrorCode, Ran, RefusedError, refused
+from wasabimux.headers import end_to_end_headers
 from wasabimux.link.messages import End, Head, Open, Operation
 from wasabimux.link.stream import LinkLost, LinkStream, StreamCancelled
 from wasabimux.ports import Headers
@@ -171,7 +172,7 @@
         repeatable: bool,
     ) -> CallAnswer:
         """Sends a call; returns once its answer has begun."""
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         message = Open(
             operation=Operation.CALL,
             request_id=context.request_id,
@@ -215,13 +216,11 @@
 
     def choose(self, context: RequestContext) -> PooledAgent:
         """Chooses an upstream. Raises RefusedError if there is none."""
-        usable = self._pool.usable(context.route.group or "")
-        if not usable:
-            raise no_upstream(context.route.group)
-        untried = [agent for agent in usable if agent.id not in context.tried]
-        agents = {agent.id: agent for agent in untried or usable}
-        candidates = [agent.candidate() for agent in agents.values()]
-        return agents[self._policy.choose(candidates, b"", self._rng).upstream]
+        group = context.route.group or ""
+        agent = self._pool.choose(group, self._policy, self._rng, context.tried)
+        if agent is None:
+            raise no_upstream(group)
+        return agent
 
 
 class CallAnswer(NamedTuple):
--- a/wasabimux/entry/completions.py
+++ b/wasabimux/entry/completions.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import math
 import random
@@ -10,6 +9,7 @@
 from contextlib import AsyncExitStack
 from typing import Any, NamedTuple
 
+from wasabimux._clock import loop_time
 from wasabimux.adapters.http_server import HttpResponse
 from wasabimux.decisions.placement import PlacementPolicy
 from wasabimux.entry.attempts import Attempts, no_upstream
@@ -281,40 +281,27 @@
     def _choose_decode(self, context: RequestContext) -> list[PooledAgent]:
         """Chooses two agents, or one if there are no more."""
         group = context.route.decode_group or ""
-        first = self._choose(context, group, self._decode_policy, b"")
-        others = [
-            agent
-            for agent in self._pool.usable(group)
-            if agent is not first and agent.id not in context.tried
-        ]
-        if not others:
+        policy = self._decode_policy
+        first = self._pool.choose(group, policy, self._rng, context.tried)
+        if first is None:
+            raise no_upstream(group)
+        avoid = context.tried | {first.id}
+        second = self._pool.choose(group, policy, self._rng, avoid)
+        if second is None or second.id in avoid:
             return [first]
-        agents = {agent.id: agent for agent in others}
-        candidates = [agent.candidate() for agent in others]
-        second = self._decode_policy.choose(candidates, b"", self._rng)
-        return [first, agents[second.upstream]]
+        return [first, second]
 
     def _choose_prefill(
         self, context: RequestContext, request: CompletionRequest
     ) -> PooledAgent:
         group = context.route.prefill_group or ""
         affinity = _prefix(request.fields)
-        return self._choose(context, group, self._prefill_policy, affinity)
-
-    def _choose(
-        self,
-        context: RequestContext,
-        group: str,
-        policy: PlacementPolicy,
-        affinity: bytes,
-    ) -> PooledAgent:
-        usable = self._pool.usable(group)
-        if not usable:
+        agent = self._pool.choose(
+            group, self._prefill_policy, self._rng, context.tried, affinity
+        )
+        if agent is None:
             raise no_upstream(group)
-        untried = [agent for agent in usable if agent.id not in context.tried]
-        agents = {agent.id: agent for agent in untried or usable}
-        candidates = [agent.candidate() for agent in agents.values()]
-        return agents[policy.choose(candidates, affinity, self._rng).upstream]
+        return agent
 
     def _open_message(
         self,
@@ -324,7 +311,7 @@
         body: bytes,
         cost: float,
     ) -> Open:
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         return Open(
             operation=operation,
             request_id=context.request_id,
--- a/wasabimux/entry/entry.py
+++ b/wasabimux/entry/entry.py
@@ -8,8 +8,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
+from wasabimux._clock import loop_time
 from wasabimux.adapters.http_server import HttpRequest, HttpResponse, refusal_response
-from wasabimux.agent.calls import end_to_end_headers
 from wasabimux.decisions.placement import (
     PlacementPolicy,
     PowerOfTwoChoices,
@@ -37,6 +37,7 @@
 from wasabimux.entry.rate_gate import RateGate
 from wasabimux.entry.rate_shards import ShardKeeper
 from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError, refused
+from wasabimux.headers import end_to_end_headers
 from wasabimux.ids import (
     Incarnation,
     InstanceId,
@@ -207,7 +208,7 @@
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         index = self.feed.current
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         if index is None or not self.feed.may_serve(now, bool(self._other_entries)):
             text = "this entry cannot tell whether its settings are in force"
             raise refused(ErrorCode.STALE_SETTINGS, text)
@@ -362,7 +363,7 @@
         return index.workspace_settings(caller.workspace).weight
 
     def _on_settings(self, index: FleetIndex) -> None:
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         self.pool.apply(index)
         self.keeper.reconfigure(now)
         for link in self.peers.links():
@@ -376,7 +377,7 @@
 
     def _cut_off(self, is_withdrawn: Callable[[KeyDigest], bool]) -> None:
         """Ends the running requests of withdrawn keys."""
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         for context in list(self._active):
             digest = context.caller.digest
             if digest is not None and is_withdrawn(digest):
@@ -393,7 +394,7 @@
         return RateRules(settings.rate_tokens_per_s, settings.burst_tokens)
 
     def _on_peer_message(self, link: Link, message: Message) -> None:
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         if isinstance(message, GrantAsk):
             self.keeper.settle(message.workspace, message.report, now)
             if message.ask_id:
--- a/wasabimux/entry/feed.py
+++ b/wasabimux/entry/feed.py
@@ -12,6 +12,7 @@
 import random
 from collections.abc import Callable
 
+from wasabimux._clock import loop_time
 from wasabimux.ids import SettingsVersion
 from wasabimux.link.link import Link
 from wasabimux.link.messages import Message, SettingsUpdate, SettingsWanted
@@ -83,7 +84,7 @@
                 continue
             retry_s = FIRST_RETRY_S
             self._store_reached = True
-            self._last_contact_s = asyncio.get_running_loop().time()
+            self._last_contact_s = loop_time()
             for item in changed:
                 if item.name == SETTINGS_NAME:
                     self.offer(SettingsVersion(item.version), item.value)
@@ -119,7 +120,7 @@
         if current >= self._newest_known:
             self._behind_since_s = None
         elif self._behind_since_s is None:
-            self._behind_since_s = asyncio.get_running_loop().time()
+            self._behind_since_s = loop_time()
 
     def announcement(self) -> SettingsUpdate:
         """Returns what peers are told regularly."""
@@ -127,7 +128,7 @@
 
     def on_message(self, link: Link, message: Message) -> None:
         """Takes a message of a peer on settings."""
-        self._last_contact_s = asyncio.get_running_loop().time()
+        self._last_contact_s = loop_time()
         mine = self.current.version if self.current else 0
         if isinstance(message, SettingsWanted):
             if mine:
--- a/wasabimux/entry/pool.py
+++ b/wasabimux/entry/pool.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import random
+from collections.abc import Awaitable, Callable, Collection
 
-from wasabimux.decisions.placement import Candidate, rendezvous_top
+from wasabimux.decisions.placement import Candidate, PlacementPolicy, rendezvous_top
 from wasabimux.ids import InstanceId, SettingsVersion, UpstreamId
 from wasabimux.link.link import Link, LinkEvents, LinkTraffic
 from wasabimux.link.messages import Hello, LoadReport, Message, Open, SettingsUpdate
@@ -248,6 +249,34 @@
             if agent.accepting and self._views_by_id[agent.id].accepting
         ]
 
+    def choose(
+        self,
+        group: str,
+        policy: PlacementPolicy,
+        rng: random.Random,
+        avoid: Collection[UpstreamId] = (),
+        affinity: bytes = b"",
+    ) -> PooledAgent | None:
+        """Chooses an agent that may get new work.
+
+        Args:
+            group: Group of upstreams.
+            policy: Chooses among the candidates.
+            rng: Source of random choices.
+            avoid: Upstreams to take only if there are no others.
+            affinity: Bytes that requests with the same cached prefix share.
+
+        Returns:
+            The agent, None if no agent of the group may get work.
+        """
+        usable = self.usable(group)
+        if not usable:
+            return None
+        preferred = [agent for agent in usable if agent.id not in avoid]
+        agents = {agent.id: agent for agent in preferred or usable}
+        candidates = [agent.candidate() for agent in agents.values()]
+        return agents[policy.choose(candidates, affinity, rng).upstream]
+
     def _agent(self, upstream: Upstream) -> PooledAgent:
         upstream_id = UpstreamId(upstream.id)
         agent = self._agents_by_id.get(upstream_id)
--- a/wasabimux/entry/rate_gate.py
+++ b/wasabimux/entry/rate_gate.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 
+from wasabimux._clock import loop_time
 from wasabimux.decisions.rate import GrantDecision, GrantOutcome, GrantPurse
 from wasabimux.entry.peers import PeerLinks
 from wasabimux.entry.rate_shards import (
@@ -65,9 +66,9 @@
             RefusedError: The share does not allow it, or nobody can tell.
         """
         purse = self._purses_by_workspace.setdefault(workspace, GrantPurse())
-        give_up_s = _now() + HOLDER_WAIT_S
+        give_up_s = loop_time() + HOLDER_WAIT_S
         while True:
-            now = _now()
+            now = loop_time()
             if purse.spend(tokens, now):
                 return
             decision = await self._ask(workspace, purse, tokens)
@@ -93,9 +94,9 @@
         while True:
             await asyncio.sleep(REPORT_S)
             for workspace, purse in list(self._purses_by_workspace.items()):
-                if purse.has_report(_now()):
+                if purse.has_report(loop_time()):
                     await self._report(workspace, purse)
-                if purse.is_idle(_now()):
+                if purse.is_idle(loop_time()):
                     del self._purses_by_workspace[workspace]
 
     def on_reply(self, reply: GrantReply) -> None:
@@ -130,7 +131,7 @@
         give_up_s: float,
     ) -> float:
         """Returns the wait before the next ask, or refuses the request."""
-        now = _now()
+        now = loop_time()
         retry_s = decision.retry_after_s
         if decision.outcome is GrantOutcome.TOO_LARGE:
             text = f"{tokens:.0f} tokens are more than the workspace's burst"
@@ -147,12 +148,12 @@
     async def _ask(
         self, workspace: str, purse: GrantPurse, tokens: float
     ) -> GrantDecision:
-        now = _now()
+        now = loop_time()
         self.asks += 1
         wanted = purse.wanted(tokens, now)
         shard = shard_of(workspace)
         if shard in self._keeper.held:
-            self._keeper.settle(workspace, purse.take_report(_now()), now)
+            self._keeper.settle(workspace, purse.take_report(loop_time()), now)
             return self._keeper.ask(workspace, tokens, wanted, now)
         ask_id = self._next_ask
         self._next_ask += 1
@@ -163,7 +164,7 @@
         try:
             async with asyncio.timeout(ASK_TIMEOUT_S):
                 link = await self._peers.link_to(await self._address_of(shard))
-                report = purse.take_report(_now())
+                report = purse.take_report(loop_time())
                 link.send(0, GrantAsk(ask_id, workspace, tokens, wanted, report))
                 decision = await waiting
         except (OSError, TimeoutError, StoreUnavailable):
@@ -177,7 +178,7 @@
     async def _report(self, workspace: str, purse: GrantPurse) -> None:
         shard = shard_of(workspace)
         if shard in self._keeper.held:
-            self._keeper.settle(workspace, purse.take_report(_now()), _now())
+            self._keeper.settle(workspace, purse.take_report(loop_time()), loop_time())
             return
         holder = self._holder_by_shard.get(shard)
         if holder is None:
@@ -186,7 +187,7 @@
             link = await self._peers.link_to(holder.address)
         except OSError:
             return
-        link.send(0, GrantAsk(0, workspace, 0.0, 0.0, purse.take_report(_now())))
+        link.send(0, GrantAsk(0, workspace, 0.0, 0.0, purse.take_report(loop_time())))
 
     async def _address_of(self, shard: int) -> str:
         holder = self._holder_by_shard.get(shard)
@@ -220,7 +221,3 @@
 
 def _no_holder() -> RefusedError:
     return refused(ErrorCode.OVERLOADED, "the workspace's share cannot be checked now")
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/wasabimux/entry/rate_shards.py
+++ b/wasabimux/entry/rate_shards.py
@@ -16,6 +16,7 @@
 import xxhash
 from pydantic import BaseModel, ConfigDict
 
+from wasabimux._clock import loop_time
 from wasabimux.decisions.placement import rendezvous_top
 from wasabimux.decisions.rate import (
     GRANT_HOLD_S,
@@ -245,12 +246,12 @@
             await self._tend(shard)
         except StoreUnavailable:
             held = self._held_by_shard.get(shard)
-            if held is not None and _now() > held.lease_until_s + MAX_HOLD_S:
+            if held is not None and loop_time() > held.lease_until_s + MAX_HOLD_S:
                 self._drop(shard, "hold_ended")
 
     async def _tend(self, shard: int) -> None:
         """Renews a shard, gives it to a better holder, or takes it over."""
-        now = _now()
+        now = loop_time()
         held = self._held_by_shard.get(shard)
         if held is None:
             await self._consider(shard)
@@ -265,7 +266,7 @@
             await self._rebalance(shard, held)
 
     async def _renew(self, shard: int, held: _Held) -> None:
-        sent_s = _now()
+        sent_s = loop_time()
         value = self._record(held, sent_s).model_dump_json().encode()
         try:
             held.version = await self._store.put(
@@ -294,12 +295,12 @@
         ranked = self._ranked(shard)
         if self._releasing or self._instance not in ranked:
             return
-        if _now() < self._next_read_s[shard]:
+        if loop_time() < self._next_read_s[shard]:
             return
-        self._next_read_s[shard] = _now() + READ_S
+        self._next_read_s[shard] = loop_time() + READ_S
         rank = ranked.index(self._instance)
         known = await read_shard(self._store, shard)
-        now = _now()
+        now = loop_time()
         if known is None:
             if rank == 0:
                 await self._take(shard, None, proved_gone=True)
@@ -336,7 +337,7 @@
     async def _take(
         self, shard: int, known: KnownShard | None, proved_gone: bool
     ) -> None:
-        sent_s = _now()
+        sent_s = loop_time()
         held = self._new_held(known, sent_s)
         if proved_gone and known is not None and known.record.holder is not None:
             _note_gone(held, known.record.holder, sent_s)
@@ -382,21 +383,21 @@
 
     async def _ask_former(self, shard: int, held: _Held, former: Holder) -> None:
         """Asks a former holder to confirm that it has given up."""
-        if held.gone_s_by_former[former] - _now() <= GRANT_HOLD_S:
+        if held.gone_s_by_former[former] - loop_time() <= GRANT_HOLD_S:
             return  # it has; its last grants are running out
         if former == self._me:
-            _note_gone(held, former, _now())
+            _note_gone(held, former, loop_time())
             return
         life = await self._peers.probe(former.address, former.incarnation)
         if life is PeerLife.DEAD:
-            _note_gone(held, former, _now())
+            _note_gone(held, former, loop_time())
         elif life is PeerLife.ALIVE:
             link = await self._peers.link_to(former.address)
             link.send(0, Claim(shard, held.epoch))
 
     async def _release(self, shard: int) -> None:
         held = self._held_by_shard.pop(shard)
-        now = _now()
+        now = loop_time()
         levels = held.ledger.levels(now)
         record = self._record(held, now).model_copy(
             update={"holder": None, "levels": levels}
@@ -408,7 +409,7 @@
     async def _rebalance(self, shard: int, held: _Held) -> None:
         """Releases a shard that another entry, which can be reached, ranks for."""
         best = self._ranked(shard)[0]
-        if best == self._instance or held.unresolved(_now()):
+        if best == self._instance or held.unresolved(loop_time()):
             return
         try:
             await self._peers.link_to(self._live_entries()[best])
@@ -447,7 +448,3 @@
         return None
     record = ShardRecord.model_validate_json(item.value)
     return KnownShard(version=item.version, record=record)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/wasabimux/standins/engine.py
+++ b/wasabimux/standins/engine.py
@@ -15,6 +15,7 @@
 from collections.abc import AsyncGenerator, Awaitable, Callable
 from dataclasses import dataclass, field
 
+from wasabimux._clock import loop_time
 from wasabimux.ports import EngineRefused, PrefillResult
 
 #: Characters of a prompt that one block of the prefix cache covers.
@@ -125,7 +126,7 @@
 
     def turn_cold(self) -> None:
         """Starts a cold start now, without telling anyone."""
-        self.cold_until_s = _now() + self.parameters.cold_s
+        self.cold_until_s = loop_time() + self.parameters.cold_s
         self._begun_cold.clear()
 
     async def prefill(self, run: str, body: bytes, patient: bool) -> PrefillResult:
@@ -147,7 +148,7 @@
         self._remember_prefix(prompt)
         self.prefilled_tokens += tokens - cached
         handle = f"kv-{run}"
-        expires_s = _now() + self.parameters.result_lifetime_s
+        expires_s = loop_time() + self.parameters.result_lifetime_s
         self._outputs_by_handle[handle] = _PrefillOutput(run, tokens, expires_s)
         return PrefillResult(self.address, handle, tokens, cached)
 
@@ -234,7 +235,7 @@
 
     async def is_cold(self) -> bool:
         """Tells whether the engine reports cold start, with the lag of reports."""
-        return _now() - self.parameters.load_lag_s < self.cold_until_s
+        return loop_time() - self.parameters.load_lag_s < self.cold_until_s
 
     async def order(self, fence: int) -> None:
         """Takes an order with a fencing number."""
@@ -282,7 +283,7 @@
 
     def _check_load(self, run: str) -> None:
         """Falls over when a cold engine begins more than it can bear."""
-        if _now() >= self.cold_until_s:
+        if loop_time() >= self.cold_until_s:
             self._begun_cold.clear()
             return
         self._begun_cold.add(run)
@@ -297,10 +298,10 @@
         return (self.parameters.step_base_s + batch_s) * self._cold_factor()
 
     def _cold_factor(self) -> float:
-        return COLD_FACTOR if _now() < self.cold_until_s else 1.0
+        return COLD_FACTOR if loop_time() < self.cold_until_s else 1.0
 
     def _expire_outputs(self) -> None:
-        now = _now()
+        now = loop_time()
         for handle, output in list(self._outputs_by_handle.items()):
             if output.expires_s <= now:
                 del self._outputs_by_handle[handle]
@@ -332,10 +333,6 @@
     return "\n".join(f"{item.get('role')}: {item.get('content')}" for item in messages)
 
 
-def _now() -> float:
-    return asyncio.get_running_loop().time()
-
-
 def _prefixes(prompt: str) -> list[str]:
     ends = range(PREFIX_BLOCK_CHARS, len(prompt) + 1, PREFIX_BLOCK_CHARS)
     return [prompt[:end] for end in ends]
