--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import ast
 import json
 import re
+from pathlib import Path
 from typing import Any
 
 from hypothesis import given, settings as hypothesis_settings, strategies as st
@@ -16,6 +18,7 @@
 from wasabimux.settings.catalog import SETTINGS_BY_NAME
 from wasabimux.settings.check import check_fleet
 from wasabimux.settings.fleet import Branch
+from wasabimux.settings.reference import reference
 from wasabimux.settings.tree import explain
 from wasabimux.standins.platform import MemoryPlatform
 from wasabimux.standins.virtual_fleet import run_virtual
@@ -177,3 +180,19 @@
         assert_that(refusal.findings[0].place, Equals("$.workspaces"))
     else:
         raise AssertionError("the name was accepted")
+
+
+def test_the_page_on_settings_is_up_to_date() -> None:
+    with open("docs/operators/settings.md") as page:
+        assert_that(page.read(), Equals(reference()))
+
+
+def test_decisions_know_neither_asyncio_nor_adapters() -> None:
+    for module in Path("wasabimux/decisions").glob("*.py"):
+        for node in ast.walk(ast.parse(module.read_text())):
+            names = [alias.name for alias in getattr(node, "names", [])]
+            if isinstance(node, ast.ImportFrom):
+                names.append(node.module or "")
+            for name in names:
+                assert_that(name.startswith("asyncio"), Equals(False))
+                assert_that("adapters" in name, Equals(False))
