Ask further decode agents when one refuses; measure a domain out and back

Ruled out: full queues, 5 of 1,999 requests. Change: up to four agents an attempt, two at a time, the next one when one refuses.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 	$(BIN)/python -m benchmarks.path
 	$(BIN)/python -m benchmarks.rate
 	$(BIN)/python -m benchmarks.load
+	$(BIN)/python -m benchmarks.domain
 
 slopes: $(VENV)/.installed
 	$(BIN)/python -m benchmarks.slopes
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -12,6 +12,7 @@
 import statistics
 import sys
 from collections import Counter
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -102,12 +103,23 @@
 
     served: list[Served] = field(default_factory=list)
     duration_s: float = 0.0
+    begin_s: float = 0.0
+    crashes: int = 0
     prefilled: int = 0
     wasted: int = 0
 
     def goodput(self) -> float:
         """Good requests a second."""
-        return sum(item.good for item in self.served) / self.duration_s
+        return self.goodput_between(0.0, self.duration_s)
+
+    def goodput_between(self, start_s: float, end_s: float) -> float:
+        """Good requests a second among those intended in a part of the run."""
+        good = sum(
+            item.good
+            for item in self.served
+            if start_s <= item.intended_s - self.begin_s < end_s
+        )
+        return good / (end_s - start_s)
 
 
 def draw_sample(rng: random.Random) -> Sample:
@@ -158,19 +170,39 @@
     return check_fleet(document).ok
 
 
+Disturbance = Callable[[VirtualFleet], Coroutine[Any, Any, None]]
+
+
 async def run_load(
-    policies: PlacementPolicies, rate: float, seconds: float, seed: int
+    policies: PlacementPolicies,
+    rate: float,
+    seconds: float,
+    seed: int,
+    parameters: EngineParameters = PARAMETERS,
+    disturb: Disturbance | None = None,
 ) -> Run:
-    """Offers an open-loop load for a while and collects what comes of it."""
+    """Offers an open-loop load for a while and collects what comes of it.
+
+    Args:
+        policies: How entries choose upstreams.
+        rate: Requests a second.
+        seconds: Length of the measured time, after WARM_UP_S.
+        seed: Seed of load and fleet.
+        parameters: Capacities of the engines.
+        disturb: Runs beside the load from the start of the measured time.
+    """
     rng = random.Random(seed)
     run = Run(duration_s=seconds)
     async with VirtualFleet(
-        load_settings(), 3, PARAMETERS, seed, policies=policies
+        load_settings(), 3, parameters, seed, policies=policies
     ) as fleet:
         await fleet.until_ready()
         loop = asyncio.get_running_loop()
         begin_s = loop.time()
-        tasks = []
+        run.begin_s = begin_s + WARM_UP_S
+        tasks: list[asyncio.Task[None]] = []
+        if disturb is not None:
+            tasks.append(asyncio.ensure_future(_later(disturb(fleet))))
         next_s = begin_s
         while next_s < begin_s + WARM_UP_S + seconds:
             await asyncio.sleep(max(0.0, next_s - loop.time()))
@@ -186,9 +218,15 @@
             engine.state()
             run.prefilled += engine.prefilled_tokens
             run.wasted += engine.wasted_tokens
+            run.crashes += engine.crashes
     return run
 
 
+async def _later(work: Coroutine[Any, Any, None]) -> None:
+    await asyncio.sleep(WARM_UP_S)
+    await work
+
+
 async def _send(fleet: VirtualFleet, entry: str, served: Served) -> None:
     sample = served.sample
     prefix = f"shared code {sample.prefix} ".ljust(SHARED_CHARS, "s")
--- a/wasabimux/entry/completions.py
+++ b/wasabimux/entry/completions.py
@@ -25,6 +25,9 @@
 #: then for a prefill, may take together.
 SLOT_SHARE = {Operation.RESERVE: 0.75, Operation.PREFILL: 0.9}
 
+#: Decode agents that one attempt may ask for a slot.
+DECODE_CANDIDATES = 4
+
 PROMPT_FIELDS = ("prompt", "messages")
 
 
@@ -279,17 +282,19 @@
             raise RefusedError(failure)
 
     def _choose_decode(self, context: RequestContext) -> list[PooledAgent]:
-        """Chooses two agents, or one if there are no more."""
+        """Chooses the agents to ask for a slot, in order of preference."""
         group = context.route.decode_group or ""
-        policy = self._decode_policy
-        first = self._pool.choose(group, policy, self._rng, context.tried)
-        if first is None:
+        avoid = set(context.tried)
+        chosen: list[PooledAgent] = []
+        while len(chosen) < DECODE_CANDIDATES:
+            agent = self._pool.choose(group, self._decode_policy, self._rng, avoid)
+            if agent is None or agent in chosen:
+                break
+            chosen.append(agent)
+            avoid.add(agent.id)
+        if not chosen:
             raise no_upstream(group)
-        avoid = context.tried | {first.id}
-        second = self._pool.choose(group, policy, self._rng, avoid)
-        if second is None or second.id in avoid:
-            return [first]
-        return [first, second]
+        return chosen
 
     def _choose_prefill(
         self, context: RequestContext, request: CompletionRequest
--- a/wasabimux/entry/reservation.py
+++ b/wasabimux/entry/reservation.py
@@ -16,6 +16,9 @@
 #: slot answer sooner.
 SECOND_ASK_S = 0.02
 
+#: Agents that are asked at a time. A further one is asked when one has refused.
+MAX_ASKED = 2
+
 FAILURES = (RefusedError, LinkLost, StreamCancelled)
 
 
@@ -61,7 +64,7 @@
     failure: Exception | None = None
     try:
         while asked or waiting:
-            if waiting:
+            if waiting and len(asked) < MAX_ASKED:
                 agent = waiting.pop(0)
                 on_ask(agent)
                 try:
@@ -72,9 +75,10 @@
                     continue
                 head = asyncio.ensure_future(reservation.stream.receive_head())
                 asked[head] = reservation
+            may_ask_more = bool(waiting) and len(asked) < MAX_ASKED
             done, _ = await asyncio.wait(
                 asked,
-                timeout=SECOND_ASK_S if waiting else None,
+                timeout=SECOND_ASK_S if may_ask_more else None,
                 return_when=asyncio.FIRST_COMPLETED,
             )
             for head in done:
