List entries at the laptop's platform; prove a holder's death over real processes

Cause: without a list, entries of separate processes knew no peers, so shares moved only by the store and the isolation rule never applied. After: shards of an entry that gets SIGKILL are held by the other one, and its requests go on.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -186,3 +186,21 @@
     log = laptop.log("entry-1")
     assert_that(log, Contains("event=answered"))
     assert_that("example-" in log, Equals(False))
+
+
+async def _shards(laptop: Laptop, entry: str) -> list[int]:
+    address = laptop.layout.admin_by_name[entry]
+    async with HttpClient(*parse_address(address)) as client:
+        return (await send(client, "GET", "/status", [])).json["rate_shards"]
+
+
+async def test_shares_are_granted_after_their_holder_is_killed(laptop: Laptop) -> None:
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while not all([await _shards(laptop, f"entry-{n}") for n in (1, 2)]):
+            await asyncio.sleep(0.2)
+        taken = await _shards(laptop, "entry-1")
+        laptop.kill("entry-1")
+        while not set(taken) <= set(await _shards(laptop, "entry-2")):
+            await asyncio.sleep(0.2)
+    answer = await _complete(laptop.layout.callers[1])
+    assert_that(answer.status, Equals(200))
--- a/wasabimux/standins/__main__.py
+++ b/wasabimux/standins/__main__.py
@@ -12,6 +12,7 @@
 
 from wasabimux.adapters.http_server import Handler, HttpServer
 from wasabimux.entry.feed import SETTINGS_KIND, SETTINGS_NAME
+from wasabimux.ports import InstanceRecord
 from wasabimux.runtime import configure_logging, wait_for_stop_signal
 from wasabimux.settings.address import parse_address
 from wasabimux.settings.check import check_fleet
@@ -27,7 +28,9 @@
 
 
 @app.command
-def platform(listen: str, *, fleet: Path | None = None) -> None:
+def platform(
+    listen: str, *, fleet: Path | None = None, instances: Path | None = None
+) -> None:
     """Runs the platform's object API.
 
     Example: python -m wasabimux.standins platform 127.0.0.1:7000 \
@@ -36,6 +39,7 @@
     Args:
         listen: Address, as IP:PORT.
         fleet: Settings to hold from the start.
+        instances: List of instances to hold from the start.
     """
     memory = MemoryPlatform()
     server = PlatformServer(memory, os.environ.get(TOKEN_VARIABLE))
@@ -44,6 +48,9 @@
         if fleet is not None:
             value = json.dumps(json.loads(fleet.read_bytes())).encode()
             await memory.put(SETTINGS_KIND, SETTINGS_NAME, value, 0)
+        if instances is not None:
+            for item in json.loads(instances.read_bytes()):
+                memory.set_instance(InstanceRecord(**item))
         await _serve(server.handle, listen)
 
     asyncio.run(run())
--- a/wasabimux/standins/laptop.py
+++ b/wasabimux/standins/laptop.py
@@ -15,6 +15,9 @@
 from signal import Signals
 from typing import Any, NamedTuple
 
+from wasabimux.entry.entry import ENTRY_ROLE
+from wasabimux.ids import InstanceId
+from wasabimux.ports import InstanceRecord
 from wasabimux.settings.fleet import FleetSettings, GroupRole, Upstream
 from wasabimux.settings.process import AgentSettings, EntrySettings, UpstreamKind
 
@@ -83,6 +86,7 @@
         self.folder = folder
         self._ports = ports
         self._engine_parameters = engine_parameters or {}
+        self._instances: list[InstanceRecord] = []
         self._write_all(entries)
 
     def _write_all(self, entries: int) -> None:
@@ -94,10 +98,12 @@
         ]
         self._write("fleet.json", document)
         fleet_file = str(self.folder / "fleet.json")
+        instances_file = str(self.folder / "instances.json")
         arguments = [PLATFORM, self.platform, "--fleet", fleet_file]
-        self._add_standin(PLATFORM, arguments)
+        self._add_standin(PLATFORM, [*arguments, "--instances", instances_file])
         for number in range(1, entries + 1):
             daemons.append(self._write_entry(f"entry-{number}"))
+        self._write("instances.json", [item._asdict() for item in self._instances])
         self.commands.extend(daemons)
 
     def _write_upstream(self, upstream: Upstream, raw: dict[str, Any]) -> Command:
@@ -130,14 +136,16 @@
         return self._daemon("agent", name)
 
     def _write_entry(self, name: str) -> Command:
-        callers = self._ports.address()
+        callers, peers = self._ports.address(), self._ports.address()
         self.callers.append(callers)
+        record = InstanceRecord(InstanceId(name), ENTRY_ROLE, peers, leaving=False)
+        self._instances.append(record)
         settings = EntrySettings(
             instance=name,
             failure_domain=self._fleet.failure_domains[0].id,
             admin=self._admin(name),
             callers=callers,
-            peers=self._ports.address(),
+            peers=peers,
             platform=self.platform,
             plain_links=True,
         )
