Take the platform's list as proof that a holder is gone; TLS in process tests

Cause: when a whole instance vanishes no connection is refused, and a taker granted 20% for 900 s. Change: 30 s without a place in the list count as proof once the address is out of reach. All tests over processes now run with mutual TLS.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,4 +1,4 @@
-"""Separate processes under SIGKILL, SIGSTOP and SIGTERM."""
+"""Separate processes with TLS links under SIGKILL, SIGSTOP and SIGTERM."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
         item for item in brazos_document["upstreams"] if item["id"] in KEPT_UPSTREAMS
     ]
     fleet = check_fleet(brazos_document).ok
-    return Layout(fleet, tmp_path, Ports(None), engine_parameters=SLOW_ENGINE)
+    return Layout(fleet, tmp_path, Ports(None), engine_parameters=SLOW_ENGINE, tls=True)
 
 
 @pytest_asyncio.fixture
--- a/tests/test_rate.py
+++ b/tests/test_rate.py
@@ -206,6 +206,32 @@
     assert_that(load.refusals, Equals({}))
 
 
+def test_a_taker_grants_all_once_the_list_has_dropped_the_former_holder(
+    brazos: FleetSettings,
+) -> None:
+    async def lose_instance() -> Load:
+        async with VirtualFleet(brazos, 3, seed=6) as fleet:
+            await fleet.until_ready()
+            await asyncio.sleep(8)
+            load = Load(fleet, 6)
+            lost = load.holder()
+            fleet.stores_by_name[lost].cut = True
+            for name in fleet.entries_by_name:
+                if name != lost:
+                    fleet.network.cut(lost, name)
+            fleet.platform.remove_instance(lost)
+            await asyncio.sleep(60)
+            lone = fleet.entries_by_name.pop(lost)
+            load.charges.clear()
+            await load.run(60, 4.0)
+            fleet.entries_by_name[lost] = lone
+            return load
+
+    load = run_virtual(lose_instance())
+    used = sum(charge.tokens for charge in load.charges)
+    assert_that(used / (RATE * 60), GreaterThan(0.95))
+
+
 def test_reports_after_the_hold_time_change_nothing() -> None:
     bucket = GrantBucket(RateRules(100.0, 1_000.0), 1_000.0, 0.0)
     first = bucket.ask(1, 600, 600, 0.0)
--- a/wasabimux/entry/entry.py
+++ b/wasabimux/entry/entry.py
@@ -150,10 +150,14 @@
             self._rules_of,
             lambda: self._other_entries,
             timeline,
+            self._unlisted_for,
         )
         self.gate = RateGate(self.keeper, self.peers, store, rng)
         self._instance = instance
         self._other_entries: dict[InstanceId, str] = {}
+        self._listed_s: dict[str, float] = {}
+        self._first_list_s: float | None = None
+        self._last_list_s: float | None = None
         self._active: set[RequestContext] = set()
         attempts = Attempts(RetryBudget(), rng, timeline)
         self._completions = CompletionFlow(
@@ -417,6 +421,21 @@
         elif isinstance(message, (SettingsUpdate, SettingsWanted)):
             self.feed.on_message(link, message)
 
+    def _note_listed(self, instances: list[InstanceId]) -> None:
+        now = loop_time()
+        if self._first_list_s is None:
+            self._first_list_s = now
+        self._last_list_s = now
+        for instance in instances:
+            self._listed_s[instance] = now
+
+    def _unlisted_for(self, name: str) -> float:
+        """Returns how long the list, as far as it was read, has not named an entry."""
+        if self._first_list_s is None or self._last_list_s is None:
+            return 0.0
+        since_s = self._listed_s.get(name, self._first_list_s)
+        return self._last_list_s - since_s
+
     async def _keep_peers(self) -> None:
         """Links to a few peers and tells them the version of the settings."""
         while True:
@@ -444,6 +463,7 @@
             if records is not None:
                 leaving = frozenset(item.instance for item in records if item.leaving)
                 self.pool.note_leaving(leaving)
+                self._note_listed([item.instance for item in records])
                 self._other_entries = {
                     item.instance: item.address
                     for item in records
--- a/wasabimux/entry/rate_shards.py
+++ b/wasabimux/entry/rate_shards.py
@@ -46,6 +46,9 @@
 #: Longest time for which a holder goes on after its lease has lapsed.
 MAX_HOLD_S = 900.0
 
+#: Absence from the platform's list after which an instance is gone.
+UNLISTED_S = 30.0
+
 #: Time for which a shard stays where it is before it may move to a better holder.
 REBALANCE_AFTER_S = 5.0
 
@@ -139,6 +142,7 @@
         rules_of: Returns the limits of a workspace.
         live_entries: Returns the addresses of other entries that may hold shards.
         timeline: Records events.
+        unlisted_s: Returns how long the platform's list has not named an entry.
     """
 
     def __init__(
@@ -151,7 +155,9 @@
         rules_of: Callable[[str], RateRules],
         live_entries: Callable[[], dict[InstanceId, str]],
         timeline: Timeline,
+        unlisted_s: Callable[[str], float],
     ) -> None:
+        self._unlisted_s = unlisted_s
         self._instance = instance
         self._me = Holder(name=instance, incarnation=incarnation, address=address)
         self._store = store
@@ -328,7 +334,7 @@
         if holder == self._me:
             life = PeerLife.DEAD  # dropped, or taken with a lost answer
         elif seen_s > RENEW_S + TICK_S or holder.name == self._instance:
-            life = await self._peers.probe(holder.address, holder.incarnation)
+            life = await self._probe(holder)
         if life is PeerLife.DEAD:
             await self._take(shard, known, proved_gone=True)
         elif seen_s > LEASE_S + rank * RANK_WAIT_S:
@@ -388,13 +394,23 @@
         if former == self._me:
             _note_gone(held, former, loop_time())
             return
-        life = await self._peers.probe(former.address, former.incarnation)
+        life = await self._probe(former)
         if life is PeerLife.DEAD:
             _note_gone(held, former, loop_time())
         elif life is PeerLife.ALIVE:
             link = await self._peers.link_to(former.address)
             link.send(0, Claim(shard, held.epoch))
 
+    async def _probe(self, holder: Holder) -> PeerLife:
+        """Finds out whether a holder still lives.
+
+        The platform's list lags, so only a long absence from it is a proof.
+        """
+        life = await self._peers.probe(holder.address, holder.incarnation)
+        if life is PeerLife.UNKNOWN and self._unlisted_s(holder.name) > UNLISTED_S:
+            return PeerLife.DEAD
+        return life
+
     async def _release(self, shard: int) -> None:
         held = self._held_by_shard.pop(shard)
         now = loop_time()
--- a/wasabimux/standins/laptop.py
+++ b/wasabimux/standins/laptop.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import datetime
 import json
 import os
 import socket
@@ -15,11 +16,17 @@
 from signal import Signals
 from typing import Any, NamedTuple
 
+from wasabimux.adapters.certificates import Authority
 from wasabimux.entry.entry import ENTRY_ROLE
 from wasabimux.ids import InstanceId
 from wasabimux.ports import InstanceRecord
 from wasabimux.settings.fleet import FleetSettings, GroupRole, Upstream
-from wasabimux.settings.process import AgentSettings, EntrySettings, UpstreamKind
+from wasabimux.settings.process import (
+    AgentSettings,
+    EntrySettings,
+    TlsSettings,
+    UpstreamKind,
+)
 
 LOOPBACK = "127.0.0.1"
 STOP_TIMEOUT_S = 10.0
@@ -67,6 +74,7 @@
         ports: Addresses of the processes.
         entries: Number of entries.
         engine_parameters: Capacities of engines that differ from the defaults.
+        tls: True for links with TLS; certificates go into the folder too.
     """
 
     def __init__(
@@ -76,7 +84,12 @@
         ports: Ports,
         entries: int = 2,
         engine_parameters: dict[str, Any] | None = None,
+        tls: bool = False,
     ) -> None:
+        self._authority: Authority | None = None
+        if tls:
+            now = datetime.datetime.now(datetime.UTC)
+            self._authority = Authority(folder / "pki", now)
         self.callers: list[str] = []
         self.admin_by_name: dict[str, str] = {}
         self.standin_by_upstream: dict[str, str] = {}
@@ -122,7 +135,8 @@
             instance=name,
             failure_domain=upstream.failure_domain,
             admin=self._admin(name),
-            plain_links=True,
+            tls=self._identity("agent", name),
+            plain_links=self._authority is None,
             upstream_id=upstream.id,
             link=link,
             kind=kind,
@@ -147,11 +161,23 @@
             callers=callers,
             peers=peers,
             platform=self.platform,
-            plain_links=True,
+            tls=self._identity("entry", name),
+            plain_links=self._authority is None,
         )
         self._write(f"{name}.json", settings.model_dump(mode="json"))
         return self._daemon("entry", name)
 
+    def _identity(self, role: str, name: str) -> TlsSettings | None:
+        """Makes the identity of a process, None for plain links."""
+        if self._authority is None:
+            return None
+        certificate, key = self._authority.issue(role, name)
+        return TlsSettings(
+            certificate=certificate,
+            private_key=key,
+            authority=self._authority.certificate_path,
+        )
+
     def _admin(self, name: str) -> str:
         address = self._ports.address()
         self.admin_by_name[name] = address
--- a/wasabimux/standins/platform.py
+++ b/wasabimux/standins/platform.py
@@ -123,6 +123,12 @@
         now = asyncio.get_running_loop().time()
         self._instance_history.append((now, list(self._instances_by_id.values())))
 
+    def remove_instance(self, name: str) -> None:
+        """Takes an entry off the list."""
+        self._instances_by_id.pop(name, None)
+        now = asyncio.get_running_loop().time()
+        self._instance_history.append((now, list(self._instances_by_id.values())))
+
     def set_down(self, down: bool) -> None:
         """Starts or ends an outage; waiting watches fail at once."""
         self.faults.down = down
