Weigh three moments for the prefill; free its slot once it is done

Cause: a decode slot is held while its prefill waits for a turn, so goodput at full load stays below its bound. Tried: the prefill when the request is the next to get a slot, and at once. Conclusion: the prefill after the grant stays the default, the others are named policies.

Found on the way: an agent held a prefill slot until the result was fetched, so early prefills and decode slots waited for each other; a notice to a cancelled request failed in another one's release. Refusals carry x-request-id, and the fuzz checks with it that completions refused with ran: no never began.

--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -1,6 +1,6 @@
 """Measures the decisions under load on a virtual clock.
 
-Usage: python -m benchmarks.load [SEED] [SECONDS]
+Usage: python -m benchmarks.load [SEED] [SECONDS] [POLICY]
 """
 
 from __future__ import annotations
@@ -24,6 +24,7 @@
     PrefixAffinity,
     RoundRobin,
 )
+from wasabimux.entry.completions import PrefillTiming
 from wasabimux.entry.entry import PlacementPolicies
 from wasabimux.settings.check import check_fleet
 from wasabimux.settings.fleet import FleetSettings
@@ -328,6 +329,12 @@
 
     return {
         "present": of(PrefixAffinity(), PowerOfTwoChoices()),
+        "prefill_when_next": of(PrefixAffinity(), PowerOfTwoChoices())._replace(
+            timing=PrefillTiming.WHEN_NEXT
+        ),
+        "prefill_at_once": of(PrefixAffinity(), PowerOfTwoChoices())._replace(
+            timing=PrefillTiming.AT_ONCE
+        ),
         "round_robin": of(RoundRobin(), RoundRobin()),
     }
 
@@ -339,7 +346,10 @@
     capacity = pool_capacity(seed)
     print(Figure("load.capacity", capacity, "1/s"), flush=True)
     missed = False
+    only = arguments[2] if len(arguments) > 2 else None
     for name, policies in policies_by_name().items():
+        if only not in (None, name):
+            continue
         at_capacity = 0.0
         for load in (0.7, 1.0, 1.5, 2.0):
             bounds = {}
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -394,6 +394,8 @@
         for tokens, answer in self.completions:
             if answer.status != 200:
                 assert b'"ran"' in answer.body
+                if b'"ran": "no"' in answer.body:
+                    self._check_never_ran(answer.headers.get(b"x-request-id", b""))
             elif answer.complete:
                 _check_whole(answer, tokens)
             else:
@@ -409,6 +411,11 @@
             if len(order.answers) == 1 and b'"ran": "no"' in order.answers[0].body:
                 assert count == 0, f"{order.target} ran although refused"
 
+    def _check_never_ran(self, request_id: bytes) -> None:
+        for name, engine in self.fleet.engines_by_id.items():
+            ran = engine.runs_by_request.get(request_id.decode(), 0)
+            assert ran == 0, f"a completion ran at {name} although refused"
+
     def _check_rate(self) -> None:
         """No window exceeds rate * length + burst."""
         charges: dict[str, Charge] = {}
--- a/wasabimux/agent/capacity.py
+++ b/wasabimux/agent/capacity.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 from wasabimux._clock import loop_time
@@ -182,11 +183,15 @@
             return 0.0
         return (slots.ahead_of(rank) + 1) * self._hold_s / max(1, slots.limit)
 
-    async def acquire(self, ask: SlotAsk) -> SlotLease:
+    async def acquire(
+        self, ask: SlotAsk, on_next: Callable[[], None] | None = None
+    ) -> SlotLease:
         """Waits for a slot.
 
         Args:
             ask: What the request says of itself.
+            on_next: Called once when the next slot that comes free is expected to
+                go to this request.
 
         Returns:
             The slot, to be used as a context manager.
@@ -210,7 +215,7 @@
             if not granted.done():
                 granted.set_result(None)
 
-        asked = self._slots.request(rank, on_grant)
+        asked = self._slots.request(rank, on_grant, on_next)
         if asked.is_error():
             raise RefusedError(asked.error)
         self._waiters.add(granted)
--- a/wasabimux/agent/completions.py
+++ b/wasabimux/agent/completions.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from contextlib import suppress
 from typing import NamedTuple
 
 from wasabimux._clock import loop_time
@@ -12,6 +13,7 @@
 from wasabimux.errors import ErrorCode, Ran, RefusedError, refused
 from wasabimux.link.messages import (
     STATUS_GRANTED,
+    STATUS_NEXT,
     STATUS_OK,
     Data,
     End,
@@ -19,7 +21,7 @@
     KvSource,
     Open,
 )
-from wasabimux.link.stream import LinkStream
+from wasabimux.link.stream import LinkLost, LinkStream, StreamCancelled
 from wasabimux.ports import Engine, EngineRefused, UpstreamLost
 from wasabimux.timeline import Timeline
 
@@ -73,15 +75,16 @@
         budget_s = message.budget_ms / 1000
         run = run_name(message)
         with await self._capacity.acquire(slot_ask(message)):
-            consumed = False
-            try:
-                source = await self._prefill(run, message, budget_s)
-                stream.send_kv_source(source)
-                stream.send_end(End())
-                consumed = await _ended_well(stream)
-            finally:
-                if not consumed:
-                    await self._reaper.cancel(run)
+            source = await self._prefill(run, message, budget_s)
+        # The slot is free for the next prompt while this result waits to be fetched.
+        consumed = False
+        try:
+            stream.send_kv_source(source)
+            stream.send_end(End())
+            consumed = await _ended_well(stream)
+        finally:
+            if not consumed:
+                await self._reaper.cancel(run)
 
     async def reserve(self, stream: LinkStream, message: Open) -> None:
         """Grants a slot, imports the KV cache named on the stream, and decodes.
@@ -90,7 +93,13 @@
             RefusedError: The request was not decoded to its end.
         """
         run = run_name(message)
-        with await self._capacity.acquire(slot_ask(message)):
+
+        def on_next() -> None:
+            # Another request's release leads here, which must not fail for this one.
+            with suppress(LinkLost, StreamCancelled):
+                stream.send_head(Head(STATUS_NEXT))
+
+        with await self._capacity.acquire(slot_ask(message), on_next):
             stream.send_head(Head(STATUS_GRANTED))
             source = await stream.receive_kv_source()
             with await self._capacity.begin_work(WORK_WAIT_S):
@@ -113,9 +122,11 @@
                 await self._reaper.cancel(run)
 
     async def _prefill(self, run: str, message: Open, budget_s: float) -> KvSource:
+        finished = False
         try:
             async with asyncio.timeout(budget_s):
                 result = await self._engine.prefill(run, message.body, message.patient)
+            finished = True
         except TimeoutError:
             raise refused(ErrorCode.DEADLINE, "prefill took too long", Ran.YES)
         except EngineRefused as refusal:
@@ -123,6 +134,9 @@
         except (UpstreamLost, OSError) as error:
             self._capacity.on_cold(loop_time())
             raise refused(ErrorCode.UPSTREAM_FAILED, str(error), Ran.YES)
+        finally:
+            if not finished:
+                await self._reaper.cancel(run)
         self._capacity.on_success(loop_time())
         return KvSource(
             result.source, result.handle, result.prompt_tokens, result.cached_tokens
--- a/wasabimux/decisions/slots.py
+++ b/wasabimux/decisions/slots.py
@@ -27,11 +27,13 @@
     Attributes:
         rank: Place in the queue; the lowest comes first.
         on_grant: Called when a waiting request gets its slot.
+        on_next: Called once when the request becomes the first to wait.
         state: Where the request stands.
     """
 
     rank: tuple[float, ...]
     on_grant: Callable[[], None] = field(compare=False)
+    on_next: Callable[[], None] | None = field(default=None, compare=False)
     state: SlotState = field(default=SlotState.WAITING, compare=False)
 
 
@@ -74,20 +76,24 @@
         self._grant_waiting()
 
     def request(
-        self, rank: tuple[float, ...], on_grant: Callable[[], None]
+        self,
+        rank: tuple[float, ...],
+        on_grant: Callable[[], None],
+        on_next: Callable[[], None] | None = None,
     ) -> Result[SlotRequest, Refusal]:
         """Asks for a slot.
 
         Args:
             rank: Place in the queue; the lowest comes first.
             on_grant: Called as soon as the slot is granted, maybe at once.
+            on_next: Called once when the request is the first of those that wait.
 
         Returns:
             The request, to be released later, or a refusal when the queue is full.
         """
         if self.held >= self._limit and self._waiting >= self._queue_limit:
             return Error(Refusal(ErrorCode.OVERLOADED, "the upstream's queue is full"))
-        request = SlotRequest(rank, on_grant)
+        request = SlotRequest(rank, on_grant, on_next)
         heapq.heappush(self._queue, request)
         self._waiting += 1
         self._grant_waiting()
@@ -109,9 +115,15 @@
                 heapq.heappop(self._queue)
                 continue
             if self.held >= self._limit:
+                self._tell_next(first)
                 return
             heapq.heappop(self._queue)
             self._waiting -= 1
             self.held += 1
             first.state = SlotState.HELD
             first.on_grant()
+
+    def _tell_next(self, first: SlotRequest) -> None:
+        if first.on_next is not None:
+            on_next, first.on_next = first.on_next, None
+            on_next()
--- a/wasabimux/entry/completions.py
+++ b/wasabimux/entry/completions.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import math
 import random
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from contextlib import AsyncExitStack
+from enum import Enum
 from typing import Any, NamedTuple
 
 from wasabimux._clock import loop_time
@@ -17,7 +19,7 @@
 from wasabimux.entry.pool import AgentPool, PooledAgent
 from wasabimux.entry.reservation import Reservation, reserve_slot
 from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError, refused
-from wasabimux.link.messages import End, Open, Operation
+from wasabimux.link.messages import End, KvSource, Open, Operation
 from wasabimux.link.stream import LinkLost, LinkStream, StreamCancelled
 from wasabimux.timeline import Timeline
 
@@ -122,6 +124,14 @@
     return total
 
 
+class PrefillTiming(Enum):
+    """When the prefill of a request starts."""
+
+    AT_ONCE = "at_once"
+    WHEN_NEXT = "when_next"
+    AFTER_GRANT = "after_grant"
+
+
 class CompletionFlow:
     """Takes completion requests through the pools.
 
@@ -132,6 +142,7 @@
         decode_policy: Chooses where to decode.
         rng: Source of random choices.
         timeline: Records events.
+        timing: When prefills start.
     """
 
     def __init__(
@@ -142,7 +153,9 @@
         decode_policy: PlacementPolicy,
         rng: random.Random,
         timeline: Timeline,
+        timing: PrefillTiming = PrefillTiming.AFTER_GRANT,
     ) -> None:
+        self._timing = timing
         self._pool = pool
         self._attempts = attempts
         self._prefill_policy = prefill_policy
@@ -179,19 +192,46 @@
     ) -> _DecodeAnswer:
         """Makes one attempt; returns once the first byte of the answer is here."""
         async with AsyncExitStack() as stack:
-            reservation = await self._reserve(context, request)
-            stack.push(reservation.stack)
+            due = asyncio.Event()
+            if self._timing is PrefillTiming.AT_ONCE:
+                due.set()
+            on_next = due.set if self._timing is PrefillTiming.WHEN_NEXT else _ignore
+            reserving = asyncio.ensure_future(
+                self._reserve(context, request, due, on_next)
+            )
+            stack.push_async_callback(_give_up, reserving)
+            await due.wait()
+            if reserving.done():
+                reserving.result()  # raises if there is no slot
+            prefill, prefill_agent = self._open_prefill(context, request, stack)
+            source = asyncio.ensure_future(
+                self._prefilled(context, prefill, prefill_agent)
+            )
+            stack.push_async_callback(_drop, source)
+            try:
+                reservation = await reserving
+            except (RefusedError, LinkLost, StreamCancelled):
+                context.note_ran(Ran.UNKNOWN)  # the prefill may have begun
+                raise
             decode, decode_agent = reservation.stream, reservation.agent
             self._record(context, "slot_granted", decode_agent)
-            await self._prefill_and_transfer(context, request, decode, decode_agent)
+            decode.send_kv_source(await source)
+            decode.send_end(End())
+            await self._head(context, decode, decode_agent)
+            prefill.send_end(End())
             pieces = decode.payloads()
             first = await anext(pieces)
             self._record(context, "first_token", decode_agent)
             return _DecodeAnswer(first, pieces, stack.pop_all())
 
     async def _reserve(
-        self, context: RequestContext, request: CompletionRequest
+        self,
+        context: RequestContext,
+        request: CompletionRequest,
+        due: asyncio.Event,
+        on_next: Callable[[], None],
     ) -> Reservation:
+        """Reserves a decode slot; sets `due` once it is granted or refused."""
         message = self._open_message(
             context,
             Operation.RESERVE,
@@ -199,37 +239,43 @@
             request.decode_body(),
             cost=request.max_tokens,
         )
-        return await reserve_slot(
-            self._choose_decode(context),
-            message,
-            on_ask=lambda agent: self._record(context, "sent_reserve", agent),
-            on_failure=lambda agent: context.tried.add(agent.id),
-        )
+        try:
+            return await reserve_slot(
+                self._choose_decode(context),
+                message,
+                on_ask=lambda agent: self._record(context, "sent_reserve", agent),
+                on_failure=lambda agent: context.tried.add(agent.id),
+                on_next=on_next,
+            )
+        finally:
+            due.set()
 
-    async def _prefill_and_transfer(
+    def _open_prefill(
         self,
         context: RequestContext,
         request: CompletionRequest,
-        decode: LinkStream,
-        decode_agent: PooledAgent,
-    ) -> None:
+        stack: AsyncExitStack,
+    ) -> tuple[LinkStream, PooledAgent]:
         body = request.prefill_body()
         agent = self._choose_prefill(context, request)
         message = self._open_message(
             context, Operation.PREFILL, request, body, cost=request.prompt_bytes
         )
         context.sent += 1
-        with self._open(context, agent, message) as prefill:
-            try:
-                source = await prefill.receive_kv_source()
-            except (RefusedError, LinkLost, StreamCancelled):
-                context.tried.add(agent.id)
-                raise
-            self._record(context, "prefilled", agent, cached=source.cached_tokens)
-            decode.send_kv_source(source)
-            decode.send_end(End())
-            await self._head(context, decode, decode_agent)
-            prefill.send_end(End())
+        self._record(context, "sent_prefill", agent)
+        return stack.enter_context(agent.open(message)), agent
+
+    async def _prefilled(
+        self, context: RequestContext, prefill: LinkStream, agent: PooledAgent
+    ) -> KvSource:
+        """Waits for the KV cache of the prompt."""
+        try:
+            source = await prefill.receive_kv_source()
+        except (RefusedError, LinkLost, StreamCancelled):
+            context.tried.add(agent.id)
+            raise
+        self._record(context, "prefilled", agent, cached=source.cached_tokens)
+        return source
 
     async def _head(
         self, context: RequestContext, stream: LinkStream, agent: PooledAgent
@@ -332,10 +378,6 @@
             slot_budget_ms=context.slot_budget_ms(now, SLOT_SHARE[operation]),
         )
 
-    def _open(self, context: RequestContext, agent: PooledAgent, message: Open) -> Any:
-        self._record(context, f"sent_{message.operation.value}", agent)
-        return agent.open(message)
-
     def _record(
         self, context: RequestContext, name: str, agent: PooledAgent, **fields: object
     ) -> None:
@@ -362,3 +404,23 @@
     if "prompt" in fields:
         return fields["prompt"][:1024].encode()
     return "".join(item["content"] for item in fields["messages"])[:1024].encode()
+
+
+def _ignore() -> None:
+    """Takes a notice that the timing makes no use of."""
+
+
+async def _give_up(reserving: asyncio.Task[Reservation]) -> None:
+    """Ends a reservation, or gives its slot back."""
+    reserving.cancel()
+    await asyncio.wait({reserving})
+    if not reserving.cancelled() and reserving.exception() is None:
+        reserving.result().stack.close()
+
+
+async def _drop(source: asyncio.Task[KvSource]) -> None:
+    """Ends the wait for a prefill whose result is not needed any more."""
+    source.cancel()
+    await asyncio.wait({source})
+    if not source.cancelled():
+        source.exception()
--- a/wasabimux/entry/entry.py
+++ b/wasabimux/entry/entry.py
@@ -21,7 +21,11 @@
 from wasabimux.entry.attempts import Attempts
 from wasabimux.entry.calls import CallFlow, ServiceCall
 from wasabimux.entry.claims import CLAIM_WINDOW_S, Claims, wall_ms
-from wasabimux.entry.completions import CompletionFlow, parse_completion
+from wasabimux.entry.completions import (
+    CompletionFlow,
+    PrefillTiming,
+    parse_completion,
+)
 from wasabimux.entry.context import RequestContext
 from wasabimux.entry.credentials import (
     Caller,
@@ -88,6 +92,7 @@
     prefill: PlacementPolicy
     decode: PlacementPolicy
     call: PlacementPolicy
+    timing: PrefillTiming = PrefillTiming.AFTER_GRANT
 
 
 def default_policies() -> PlacementPolicies:
@@ -161,7 +166,13 @@
         self._active: set[RequestContext] = set()
         attempts = Attempts(RetryBudget(), rng, timeline)
         self._completions = CompletionFlow(
-            self.pool, attempts, policies.prefill, policies.decode, rng, timeline
+            self.pool,
+            attempts,
+            policies.prefill,
+            policies.decode,
+            rng,
+            timeline,
+            policies.timing,
         )
         self._claims = Claims(store)
         self._calls = CallFlow(
@@ -206,9 +217,15 @@
         except RefusedError as error:
             refusal = error.refusal
             self.timeline.record(
-                "refused_to_caller", code=refusal.code.value, ran=refusal.ran.value
+                "refused_to_caller",
+                error.request_id,
+                code=refusal.code.value,
+                ran=refusal.ran.value,
             )
-            return refusal_response(refusal)
+            response = refusal_response(refusal)
+            if error.request_id:
+                response.headers.append((b"x-request-id", error.request_id.encode()))
+            return response
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         index = self.feed.current
@@ -317,6 +334,10 @@
             if context.cut is not None:
                 raise RefusedError(context.cut)
             response = await serve()
+        except RefusedError as error:
+            error.request_id = context.request_id
+            self._finish(context)
+            raise
         except BaseException:
             self._finish(context)
             raise
--- a/wasabimux/entry/reservation.py
+++ b/wasabimux/entry/reservation.py
@@ -9,7 +9,7 @@
 
 from wasabimux.entry.pool import PooledAgent
 from wasabimux.errors import RefusedError
-from wasabimux.link.messages import Head, Open
+from wasabimux.link.messages import STATUS_NEXT, Head, Open
 from wasabimux.link.stream import LinkLost, LinkStream, StreamCancelled
 
 #: Wait for the first agent before the second one is asked too. Agents with a free
@@ -42,6 +42,7 @@
     message: Open,
     on_ask: Callable[[PooledAgent], None],
     on_failure: Callable[[PooledAgent], None],
+    on_next: Callable[[], None],
 ) -> Reservation:
     """Asks agents in turn, and takes the first slot that is granted.
 
@@ -50,6 +51,7 @@
         message: Asks for a slot.
         on_ask: Called with each agent that is asked.
         on_failure: Called with each agent that refuses or is lost.
+        on_next: Called when an agent expects to grant its next free slot.
 
     Returns:
         The slot. What other agents grant is given back.
@@ -73,7 +75,7 @@
                     on_failure(agent)
                     failure = error
                     continue
-                head = asyncio.ensure_future(reservation.stream.receive_head())
+                head = asyncio.ensure_future(_grant(reservation.stream, on_next))
                 asked[head] = reservation
             may_ask_more = bool(waiting) and len(asked) < MAX_ASKED
             done, _ = await asyncio.wait(
@@ -102,3 +104,12 @@
     with ExitStack() as stack:
         stream = stack.enter_context(agent.open(message))
         return Reservation(agent, stream, stack.pop_all())
+
+
+async def _grant(stream: LinkStream, on_next: Callable[[], None]) -> Head:
+    """Waits for the grant of a slot."""
+    head = await stream.receive_head()
+    while head.status == STATUS_NEXT:
+        on_next()
+        head = await stream.receive_head()
+    return head
--- a/wasabimux/errors.py
+++ b/wasabimux/errors.py
@@ -123,11 +123,15 @@
 
     Args:
         refusal: The refusal to give to the caller.
+
+    Attributes:
+        request_id: Identity of the refused request, empty before it has one.
     """
 
     def __init__(self, refusal: Refusal) -> None:
         super().__init__(f"{refusal.code.value}: {refusal.message}")
         self.refusal = refusal
+        self.request_id = ""
 
 
 def refused(
--- a/wasabimux/link/messages.py
+++ b/wasabimux/link/messages.py
@@ -13,6 +13,7 @@
 PROTOCOL_VERSION = 1
 
 STATUS_GRANTED = 100
+STATUS_NEXT = 102
 STATUS_OK = 200
 
 
@@ -78,8 +79,9 @@
 class Head:
     """First answer on a stream.
 
-    A reservation is answered twice: with STATUS_GRANTED once it holds a slot,
-    and with STATUS_OK once the KV cache is imported and the answer starts.
+    A reservation is answered with STATUS_NEXT if it waits and becomes the first to
+    wait, with STATUS_GRANTED once it holds a slot, and with STATUS_OK once the KV
+    cache is imported and the answer starts.
     """
 
     status: int
