--- a/wasabimux/cli/tool.py
+++ b/wasabimux/cli/tool.py
@@ -10,7 +10,7 @@
 from cyclopts import App, CycloptsError
 
 from wasabimux.adapters.certificates import Authority
-from wasabimux.cli._session import (
+from wasabimux.cli._shared import (
     ADMIN_TOKEN_VARIABLE,
     ADMIN_VARIABLE,
     EXIT_MISUSED,
