Make one piece of code serve where the same stood several times

The keeper tells whether it holds a shard without sorting all of them at each ask; a call's target is stripped once; an unused property is gone.

--- a/wasabimux/adapters/admin.py
+++ b/wasabimux/adapters/admin.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import hmac
-import json
 from collections.abc import Callable, Sequence
 from typing import Any
 
 from aioprometheus import REGISTRY, render
 from aioprometheus.collectors import Registry
 
-from wasabimux.adapters.http_server import HttpRequest, HttpResponse
+from wasabimux.adapters.http_server import HttpRequest, HttpResponse, json_response
 from wasabimux.timeline import Timeline
 
 
@@ -42,22 +41,22 @@
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answers one request of an operator."""
         if request.path == "/healthz":
-            return _json_response(200, {"healthy": True})
+            return json_response(200, {"healthy": True})
         if request.path == "/readyz":
             ready = self._ready()
-            return _json_response(200 if ready else 503, {"ready": ready})
+            return json_response(200 if ready else 503, {"ready": ready})
         if not self._allowed(request):
-            return _json_response(401, {"error": "a credential is needed"})
+            return json_response(401, {"error": "a credential is needed"})
         if request.path == "/status":
-            return _json_response(200, self._status())
+            return json_response(200, self._status())
         if request.path == "/timeline":
-            return _json_response(200, self._events(request.query))
+            return json_response(200, self._events(request.query))
         if request.path == "/metrics":
             accepts = [(request.header(b"accept") or b"").decode()]
             content, headers = render(self._registry, accepts)
             pairs = [(name.encode(), value.encode()) for name, value in headers.items()]
             return HttpResponse(200, pairs, content)
-        return _json_response(404, {"error": "no such page"})
+        return json_response(404, {"error": "no such page"})
 
     def _allowed(self, request: HttpRequest) -> bool:
         if self._token is None:
@@ -74,8 +73,3 @@
             for event in timeline.events(request, workspace, since_ms)
         ]
         return [event._asdict() for event in sorted(events)]
-
-
-def _json_response(status: int, value: object) -> HttpResponse:
-    headers = [(b"content-type", b"application/json")]
-    return HttpResponse(status, headers, json.dumps(value).encode())
--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import logging
 import ssl
 from collections.abc import AsyncGenerator, Awaitable, Callable
@@ -99,6 +100,12 @@
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 
+def json_response(status: int, value: object) -> HttpResponse:
+    """Makes an answer whose body is a JSON value."""
+    headers = [(b"content-type", b"application/json")]
+    return HttpResponse(status, headers, json.dumps(value).encode())
+
+
 def refusal_response(refusal: Refusal) -> HttpResponse:
     """Turns a refusal into an answer."""
     headers: Headers = [(b"content-type", b"application/json")]
--- a/wasabimux/agent/calls.py
+++ b/wasabimux/agent/calls.py
@@ -5,9 +5,8 @@
 import asyncio
 from typing import NamedTuple
 
-import xxhash
-
 from wasabimux._clock import loop_time
+from wasabimux._digest import digest_of
 from wasabimux.agent.capacity import Capacity, slot_ask
 from wasabimux.decisions.replies import ReplyLimits, ReplyTable, Verdict
 from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError, refused
@@ -176,8 +175,5 @@
 
 
 def _fingerprint(message: Open) -> int:
-    digest = xxhash.xxh3_64()
-    for part in (message.method.encode(), message.target.encode(), message.body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.intdigest()
+    digest = digest_of(message.method.encode(), message.target.encode(), message.body)
+    return int(digest, 16)
--- a/wasabimux/entry/calls.py
+++ b/wasabimux/entry/calls.py
@@ -9,9 +9,8 @@
 from functools import partial
 from typing import NamedTuple, Protocol
 
-import xxhash
-
 from wasabimux._clock import loop_time
+from wasabimux._digest import digest_of
 from wasabimux.adapters.http_server import HttpResponse
 from wasabimux.decisions.placement import PlacementPolicy
 from wasabimux.entry.attempts import Attempts, no_upstream
@@ -51,11 +50,7 @@
 
     def fingerprint(self) -> str:
         """Returns a digest of what is called."""
-        digest = xxhash.xxh3_128()
-        for part in (self.method.encode(), self.target.encode(), self.body):
-            digest.update(len(part).to_bytes(8, "big"))
-            digest.update(part)
-        return digest.hexdigest()
+        return digest_of(self.method.encode(), self.target.encode(), self.body)
 
 
 class KeyedCalls(Protocol):
--- a/wasabimux/entry/claims.py
+++ b/wasabimux/entry/claims.py
@@ -7,12 +7,11 @@
 
 from __future__ import annotations
 
-import time
 from typing import NamedTuple
 
-import xxhash
 from pydantic import BaseModel, ConfigDict
 
+from wasabimux._digest import digest_of
 from wasabimux.ports import Store, StoreConflict
 
 #: Time for which a retry with the same key is recognized.
@@ -62,18 +61,9 @@
     created: bool
 
 
-def wall_ms() -> int:
-    """Returns the wall clock in ms since the epoch."""
-    return time.time_ns() // 1_000_000
-
-
 def claim_name(workspace: str, route: str, key: bytes) -> str:
     """Returns the name under which a key is claimed."""
-    digest = xxhash.xxh3_128()
-    for part in (workspace.encode(), route.encode(), key):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.hexdigest()
+    return digest_of(workspace.encode(), route.encode(), key)
 
 
 class Claims:
--- a/wasabimux/entry/entry.py
+++ b/wasabimux/entry/entry.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 from typing import Any, NamedTuple
 
 from wasabimux._clock import loop_time
-from wasabimux.adapters.http_server import HttpRequest, HttpResponse, refusal_response
+from wasabimux.adapters.http_server import (
+    HttpRequest,
+    HttpResponse,
+    json_response,
+    refusal_response,
+)
 from wasabimux.decisions.placement import (
     PlacementPolicy,
     PowerOfTwoChoices,
@@ -20,7 +24,7 @@
 from wasabimux.entry.active import ActiveRequests
 from wasabimux.entry.attempts import Attempts
 from wasabimux.entry.calls import CallFlow, ServiceCall
-from wasabimux.entry.claims import CLAIM_WINDOW_S, Claims, wall_ms
+from wasabimux.entry.claims import CLAIM_WINDOW_S, Claims
 from wasabimux.entry.completions import (
     CompletionFlow,
     PrefillTiming,
@@ -68,7 +72,7 @@
 from wasabimux.settings.fleet import Route
 from wasabimux.settings.index import FleetIndex
 from wasabimux.settings.views import AgentView
-from wasabimux.timeline import Timeline
+from wasabimux.timeline import Timeline, wall_clock_ms
 
 COMPLETION_PATHS = frozenset({"/v1/completions", "/v1/chat/completions"})
 MODELS_PATH = "/v1/models"
@@ -245,8 +249,7 @@
         ]
         if caller.workspace is None and not models:
             raise refused(ErrorCode.UNAUTHENTICATED, "a key is needed")
-        body = json.dumps({"object": "list", "data": models}).encode()
-        return HttpResponse(200, [(b"content-type", b"application/json")], body)
+        return json_response(200, {"object": "list", "data": models})
 
     async def _complete(
         self, request: HttpRequest, caller: Caller, index: FleetIndex
@@ -277,11 +280,12 @@
             raise refused(ErrorCode.NOT_FOUND, f"nothing at {request.path}")
         context = self._context(request, caller, route, index)
         body = await request.body()
-        refuse_key_in(strip_query(request.target, index), body, caller)
+        target = strip_query(request.target, index)
+        refuse_key_in(target, body, caller)
         headers = end_to_end_headers(strip_headers(request.headers, index))
         call = ServiceCall(
             request.method,
-            strip_query(request.target, index),
+            target,
             [item for item in headers if item[0] not in (b"host", b"expect")],
             body,
             self._idempotency_key(request, caller),
@@ -301,9 +305,9 @@
         """Deletes old claims, at the one entry that holds the first shard."""
         while True:
             await asyncio.sleep(CLAIM_WINDOW_S / 4)
-            if FIRST_SHARD in self.keeper.held:
+            if self.keeper.holds(FIRST_SHARD):
                 try:
-                    await self._claims.sweep(wall_ms())
+                    await self._claims.sweep(wall_clock_ms())
                 except StoreUnavailable:
                     continue
 
--- a/wasabimux/entry/keyed_calls.py
+++ b/wasabimux/entry/keyed_calls.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from wasabimux.entry.calls import CallAnswer, CallFlow, ServiceCall
-from wasabimux.entry.claims import ClaimRecord, Claims, HeldClaim, claim_name, wall_ms
+from wasabimux.entry.claims import ClaimRecord, Claims, HeldClaim, claim_name
 from wasabimux.entry.context import RequestContext
 from wasabimux.entry.pool import AgentPool, PooledAgent
 from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError, refused
 from wasabimux.ids import RequestId, UpstreamId
 from wasabimux.ports import StoreConflict, StoreUnavailable
+from wasabimux.timeline import wall_clock_ms
 
 #: Moves of a claim to another upstream, within one attempt of a caller.
 MAX_MOVES = 4
@@ -76,7 +77,7 @@
     ) -> CallAnswer:
         """Sends the call where the claim says."""
         if not held.created:
-            age_ms = wall_ms() - held.record.claimed_ms + CLOCK_SKEW_MS
+            age_ms = wall_clock_ms() - held.record.claimed_ms + CLOCK_SKEW_MS
             context.extra_age_ms = max(0, age_ms)
         agent = self._pool.agent(UpstreamId(held.record.upstream))
         if agent is None:
@@ -109,7 +110,7 @@
             fingerprint=call.fingerprint(),
             upstream=agent.id,
             incarnation=agent.incarnation or 0,
-            claimed_ms=wall_ms(),
+            claimed_ms=wall_clock_ms(),
         )
 
 
--- a/wasabimux/entry/rate_gate.py
+++ b/wasabimux/entry/rate_gate.py
@@ -108,7 +108,7 @@
     def hint_for(self, shard: int) -> HolderHint | None:
         """Returns who holds a shard, for a peer that is cut off from the store."""
         holder = self._holder_by_shard.get(shard)
-        if shard in self._keeper.held:
+        if self._keeper.holds(shard):
             holder = self._keeper.me
         if holder is None:
             return None
@@ -152,7 +152,7 @@
         self.asks += 1
         wanted = purse.wanted(tokens, now)
         shard = shard_of(workspace)
-        if shard in self._keeper.held:
+        if self._keeper.holds(shard):
             self._keeper.settle(workspace, purse.take_report(loop_time()), now)
             return self._keeper.ask(workspace, tokens, wanted, now)
         ask_id = self._next_ask
@@ -177,7 +177,7 @@
 
     async def _report(self, workspace: str, purse: GrantPurse) -> None:
         shard = shard_of(workspace)
-        if shard in self._keeper.held:
+        if self._keeper.holds(shard):
             self._keeper.settle(workspace, purse.take_report(loop_time()), loop_time())
             return
         holder = self._holder_by_shard.get(shard)
--- a/wasabimux/entry/rate_shards.py
+++ b/wasabimux/entry/rate_shards.py
@@ -175,6 +175,10 @@
         """Shards that this entry holds."""
         return sorted(self._held_by_shard)
 
+    def holds(self, shard: int) -> bool:
+        """Tells whether this entry holds a shard."""
+        return shard in self._held_by_shard
+
     @property
     def me(self) -> Holder:
         """This entry as a holder."""
--- a/wasabimux/link/link.py
+++ b/wasabimux/link/link.py
@@ -96,11 +96,6 @@
     def __exit__(self, *exc_info: object) -> None:
         self.close()
 
-    @property
-    def stream_count(self) -> int:
-        """Number of open streams."""
-        return len(self._streams_by_id)
-
     def start(self) -> None:
         """Starts to send, receive and send heartbeats."""
         loop = asyncio.get_running_loop()
--- a/wasabimux/standins/engine_server.py
+++ b/wasabimux/standins/engine_server.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncGenerator
 
 from wasabimux.adapters.http_client import HttpClient
-from wasabimux.adapters.http_server import HttpRequest, HttpResponse
+from wasabimux.adapters.http_server import HttpRequest, HttpResponse, json_response
 from wasabimux.ports import EngineRefused, UpstreamLost
 from wasabimux.standins.engine import EngineModel
 
@@ -38,16 +38,16 @@
         """Answers one call."""
         if request.path == "/_standin/state":
             state = self.model.state() | {"headers": sorted(self.headers_seen)}
-            return _json_response(200, state)
+            return json_response(200, state)
         if request.path == "/_standin/faults":
             self._set_faults(json.loads(await request.body()))
-            return _json_response(200, {})
+            return json_response(200, {})
         for name, value in request.headers:
             self.headers_seen.add(f"{name.decode()}: {value.decode('latin-1')}")
         try:
             return await self._handle_call(request)
         except EngineRefused as refusal:
-            return _json_response(refusal.status, {"error": refusal.message})
+            return json_response(refusal.status, {"error": refusal.message})
 
     async def _handle_call(self, request: HttpRequest) -> HttpResponse:
         model = self.model
@@ -57,7 +57,7 @@
             case "POST", ["v1", "prefill"]:
                 patient = request.header(b"x-patient") == b"1"
                 result = await model.prefill(run, body, patient)
-                return _json_response(
+                return json_response(
                     200,
                     {
                         "source": result.source,
@@ -67,25 +67,25 @@
                     },
                 )
             case "GET", ["v1", "export", handle]:
-                return _json_response(200, {"tokens": await model.export(handle)})
+                return json_response(200, {"tokens": await model.export(handle)})
             case "POST", ["v1", "import"]:
                 source = json.loads(body)
                 await model.import_kv(run, source["source"], source["handle"])
-                return _json_response(200, {})
+                return json_response(200, {})
             case "POST", ["v1", "decode"]:
                 chat = request.header(b"x-chat") == b"1"
                 return HttpResponse(200, body=self._decode(run, body, chat))
             case "POST", ["v1", "cancel"]:
                 await model.cancel(run)
-                return _json_response(200, {})
+                return json_response(200, {})
             case "POST", ["v1", "orders"]:
                 await model.order(int(json.loads(body)["fence"]))
-                return _json_response(200, {})
+                return json_response(200, {})
             case "GET", ["v1", "runs"]:
-                return _json_response(200, {"runs": await model.runs()})
+                return json_response(200, {"runs": await model.runs()})
             case "GET", ["v1", "load"]:
-                return _json_response(200, {"cold": await model.is_cold()})
-        return _json_response(404, {"error": "no such call"})
+                return json_response(200, {"cold": await model.is_cold()})
+        return json_response(404, {"error": "no such call"})
 
     async def _decode(
         self, run: str, body: bytes, chat: bool
@@ -106,8 +106,3 @@
                 self.model.restart()
             else:
                 setattr(self.model.faults, name, value)
-
-
-def _json_response(status: int, value: object) -> HttpResponse:
-    headers = [(b"content-type", b"application/json")]
-    return HttpResponse(status, headers, json.dumps(value).encode())
--- a/wasabimux/standins/platform.py
+++ b/wasabimux/standins/platform.py
@@ -11,7 +11,7 @@
 import json
 from dataclasses import dataclass, field
 
-from wasabimux.adapters.http_server import HttpRequest, HttpResponse
+from wasabimux.adapters.http_server import HttpRequest, HttpResponse, json_response
 from wasabimux.ports import (
     InstanceRecord,
     StoreConflict,
@@ -164,16 +164,16 @@
         if self._token is not None:
             expected = f"Bearer {self._token}".encode()
             if request.header(b"authorization") != expected:
-                return _json_response(401, {})
+                return json_response(401, {})
         parts = request.path.strip("/").split("/")
         try:
             return await self._handle_call(request, parts)
         except StoreConflict as conflict:
-            return _json_response(412, {"current": conflict.current})
+            return json_response(412, {"current": conflict.current})
         except StoreUnavailable:
-            return _json_response(503, {})
+            return json_response(503, {})
         except ValueError as error:
-            return _json_response(413, {"error": str(error)})
+            return json_response(413, {"error": str(error)})
 
     async def _handle_call(
         self, request: HttpRequest, parts: list[str]
@@ -182,26 +182,26 @@
             case "GET", ["v1", "objects", kind, name]:
                 item = await self.platform.get(kind, name)
                 if item is None:
-                    return _json_response(404, {})
-                return _json_response(200, _object_json(item))
+                    return json_response(404, {})
+                return json_response(200, _object_json(item))
             case "GET", ["v1", "objects", kind]:
                 query = request.query
                 after = int(query.get("after", "0"))
                 wait_s = float(query.get("wait_s", "0"))
                 found = await self.platform.watch(kind, after, wait_s)
-                return _json_response(200, [_object_json(item) for item in found])
+                return json_response(200, [_object_json(item) for item in found])
             case "PUT", ["v1", "objects", kind, name]:
                 expected = int(request.header(b"if-match") or b"0")
                 body = await request.body()
                 version = await self.platform.put(kind, name, body, expected)
-                return _json_response(200, {"version": version})
+                return json_response(200, {"version": version})
             case "DELETE", ["v1", "objects", kind, name]:
                 await self.platform.delete(kind, name)
-                return _json_response(200, {})
+                return json_response(200, {})
             case "GET", ["v1", "instances"]:
                 listed = await self.platform.instances()
-                return _json_response(200, [item._asdict() for item in listed])
-        return _json_response(404, {})
+                return json_response(200, [item._asdict() for item in listed])
+        return json_response(404, {})
 
     async def _handle_standin(self, request: HttpRequest) -> HttpResponse:
         if request.path == "/_standin/instances":
@@ -214,7 +214,7 @@
                 setattr(self.platform.faults, name, value)
             self.platform.set_down(down)
         counts = {"reads": self.platform.reads, "writes": self.platform.writes}
-        return _json_response(200, counts)
+        return json_response(200, counts)
 
 
 def _object_json(item: StoredObject) -> dict[str, object]:
@@ -223,8 +223,3 @@
         "version": item.version,
         "value": item.value.decode(),
     }
-
-
-def _json_response(status: int, value: object) -> HttpResponse:
-    headers = [(b"content-type", b"application/json")]
-    return HttpResponse(status, headers, json.dumps(value).encode())
--- a/wasabimux/standins/service.py
+++ b/wasabimux/standins/service.py
@@ -6,7 +6,7 @@
 import json
 from dataclasses import dataclass, field
 
-from wasabimux.adapters.http_server import HttpRequest, HttpResponse
+from wasabimux.adapters.http_server import HttpRequest, HttpResponse, json_response
 
 
 @dataclass(slots=True)
@@ -37,9 +37,9 @@
         if request.path == "/_standin/faults":
             for name, value in json.loads(await request.body()).items():
                 setattr(self.faults, name, value)
-            return _json_response({})
+            return json_response(200, {})
         if request.path == "/_standin/state":
-            return _json_response(self.state())
+            return json_response(200, self.state())
         body = await request.body()
         for name, value in request.headers:
             self.headers_seen.add(f"{name.decode()}: {value.decode('latin-1')}")
@@ -54,13 +54,14 @@
             self.running -= 1
         if self.faults.fail_after_run:
             raise ConnectionResetError("fault: connection broken after the run")
-        return _json_response(
+        return json_response(
+            200,
             {
                 "request_id": request_id,
                 "method": request.method,
                 "target": request.target,
                 "body_bytes": len(body),
-            }
+            },
         )
 
     def state(self) -> dict[str, object]:
@@ -71,8 +72,3 @@
             "headers": sorted(self.headers_seen),
             "running": self.running,
         }
-
-
-def _json_response(value: object) -> HttpResponse:
-    headers = [(b"content-type", b"application/json")]
-    return HttpResponse(200, headers, json.dumps(value).encode())
