--- a/wasabimux/adapters/http_client.py
+++ b/wasabimux/adapters/http_client.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator
-from typing import Any
+from typing import Any, Protocol
 
 import h11
 
@@ -15,24 +16,37 @@
 MAX_HEAD_BYTES = 32 * 1024
 MAX_IDLE_CONNECTIONS = 64
 
+#: Keep-alive probes of idle connections, so that one that has gone silent is found.
+PROBE_IDLE_S = 1
+PROBE_INTERVAL_S = 1
+PROBE_COUNT = 2
+
+
+class ConnectionOwner(Protocol):
+    """Takes a connection back after an answer."""
+
+    def release(self, connection: ClientConnection, complete: bool) -> None:
+        """Keeps the connection if its answer is complete, else closes it."""
+
 
 class ClientResponse:
     """An answer whose body is read as it arrives; a context manager.
 
     Args:
-        client: Client that owns the connection.
+        owner: Owner of the connection.
         connection: Connection that carries the answer.
         head: Head of the answer.
     """
 
     def __init__(
-        self, client: HttpClient, connection: _ClientConnection, head: h11.Response
+        self, owner: ConnectionOwner, connection: ClientConnection, head: h11.Response
     ) -> None:
         self.status: int = head.status_code
         self.headers: Headers = [(bytes(n), bytes(v)) for n, v in head.headers]
-        self._client = client
+        self._owner = owner
         self._connection = connection
         self._complete = False
+        self._closed = False
 
     async def __aenter__(self) -> ClientResponse:
         return self
@@ -61,8 +75,10 @@
         return b"".join([piece async for piece in self.pieces()])
 
     def close(self) -> None:
-        """Keeps the connection for reuse if the answer is complete."""
-        self._client.release(self._connection, self._complete)
+        """Gives the connection back. Doing it twice is harmless."""
+        if not self._closed:
+            self._closed = True
+            self._owner.release(self._connection, self._complete)
 
 
 class HttpClient:
@@ -76,7 +92,7 @@
     def __init__(self, host: str, port: int) -> None:
         self._host = host
         self._port = port
-        self._idle: list[_ClientConnection] = []
+        self._idle: list[ClientConnection] = []
 
     async def __aenter__(self) -> HttpClient:
         return self
@@ -109,7 +125,10 @@
             UpstreamLost: No answer; `sent` tells whether it may have run.
         """
         reused = idempotent and bool(self._idle)
-        connection = self._idle.pop() if reused else await self._connect()
+        if reused:
+            connection = self._idle.pop()
+        else:
+            connection = await ClientConnection.connect(self._host, self._port)
         try:
             head = await connection.exchange_heads(
                 method, target, self._framed(headers or [], body), body
@@ -125,7 +144,7 @@
             raise
         return ClientResponse(self, connection, head)
 
-    def release(self, connection: _ClientConnection, complete: bool) -> None:
+    def release(self, connection: ClientConnection, complete: bool) -> None:
         """Takes a connection back."""
         if (
             complete
@@ -141,14 +160,6 @@
         while self._idle:
             self._idle.pop().close()
 
-    async def _connect(self) -> _ClientConnection:
-        connecting = asyncio.open_connection(self._host, self._port)
-        try:
-            reader, writer = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
-        except (OSError, TimeoutError) as error:
-            raise UpstreamLost(f"cannot connect: {error}", sent=False) from error
-        return _ClientConnection(reader, writer)
-
     def _framed(self, headers: Headers, body: bytes) -> Headers:
         host = f"{self._host}:{self._port}".encode()
         framed = [(b"host", host), *headers]
@@ -156,8 +167,8 @@
         return framed
 
 
-class _ClientConnection:
-    """One connection to the server."""
+class ClientConnection:
+    """One connection to a server."""
 
     def __init__(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -165,6 +176,24 @@
         self._reader = reader
         self._writer = writer
         self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        self._idle_watch: asyncio.Task[bytes] | None = None
+
+    @classmethod
+    async def connect(
+        cls, host: str, port: int, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> ClientConnection:
+        """Connects to a server.
+
+        Raises:
+            UpstreamLost: The server cannot be reached; nothing was sent.
+        """
+        connecting = asyncio.open_connection(host, port)
+        try:
+            reader, writer = await asyncio.wait_for(connecting, timeout_s)
+        except (OSError, TimeoutError) as error:
+            raise UpstreamLost(f"cannot connect: {error}", sent=False) from error
+        probe_when_idle(writer)
+        return cls(reader, writer)
 
     async def exchange_heads(
         self, method: str, target: str, headers: Headers, body: bytes
@@ -172,11 +201,11 @@
         """Sends a request and reads the head of its answer."""
         request = h11.Request(method=method, target=target, headers=headers)
         data = self._http.send(request) or b""
-        data += self._http.send(h11.Data(data=body)) or b""
+        if body:
+            data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         try:
             self._writer.write(data)
-            await self._writer.drain()
         except OSError as error:
             raise UpstreamLost(str(error), sent=True) from error
         while True:
@@ -199,12 +228,59 @@
 
     def start_next_cycle(self) -> bool:
         """Prepares for another request; returns False if that cannot be."""
+        if self._http.trailing_data[0] or self._has_unsent():
+            return False  # more than one answer, or one before the whole request
         try:
             self._http.start_next_cycle()
         except h11.LocalProtocolError:
             return False
         return not self._writer.is_closing()
 
+    def watch_while_idle(self) -> None:
+        """Notices bytes or an end of the connection while nothing is asked."""
+        self._idle_watch = asyncio.ensure_future(self._reader.read(1))
+        self._idle_watch.add_done_callback(_take_result)
+
+    async def take_from_idle(self) -> bool:
+        """Ends the watch; returns False if the connection must not be used."""
+        watch, self._idle_watch = self._idle_watch, None
+        if watch is None:
+            return not self._writer.is_closing()
+        watch.cancel()
+        await asyncio.wait({watch})
+        return watch.cancelled() and not self._writer.is_closing()
+
+    @property
+    def is_alive(self) -> bool:
+        """False once an idle connection has ended or got stray bytes."""
+        watch = self._idle_watch
+        return not self._writer.is_closing() and (watch is None or not watch.done())
+
     def close(self) -> None:
-        """Closes the connection."""
-        self._writer.close()
+        """Closes the connection at once."""
+        if self._idle_watch is not None:
+            self._idle_watch.cancel()
+        self._writer.transport.abort()
+
+    def _has_unsent(self) -> bool:
+        return self._writer.transport.get_write_buffer_size() > 0
+
+
+def probe_when_idle(writer: asyncio.StreamWriter) -> None:
+    """Lets the kernel probe a connection, so that a silent peer is noticed."""
+    connection: socket.socket | None = writer.get_extra_info("socket")
+    if connection is None or connection.family not in (
+        socket.AF_INET,
+        socket.AF_INET6,
+    ):
+        return
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
+
+
+def _take_result(watch: asyncio.Task[bytes]) -> None:
+    """Fetches the outcome, so that a reset is not reported as never seen."""
+    if not watch.cancelled():
+        watch.exception()
--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -19,6 +19,7 @@
 
 MAX_HEAD_BYTES = 32 * 1024
 READ_BYTES = 64 * 1024
+LISTEN_BACKLOG = 512
 WRITE_BUFFER_BYTES = 64 * 1024
 
 #: Longest time a caller may refuse to take any byte of an answer.
@@ -32,14 +33,15 @@
 
     Attributes:
         max_body_bytes: Largest body.
-        header_timeout_s: Longest time from the first byte to the whole head,
-            and longest idle time of a kept-alive connection.
+        header_timeout_s: Longest time from the first byte to the whole head.
         body_timeout_s: Longest silence within a body.
+        idle_timeout_s: Longest time between two requests on one connection.
     """
 
     max_body_bytes: int = 4 * 1024 * 1024
     header_timeout_s: float = 10.0
     body_timeout_s: float = 10.0
+    idle_timeout_s: float = 10.0
 
 
 @dataclass(slots=True)
@@ -131,7 +133,7 @@
         tls: ssl.SSLContext | None = None,
     ) -> None:
         self._handler = handler
-        self._limits = limits
+        self.limits = limits
         self._tls = tls
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
@@ -146,11 +148,20 @@
     async def listen(self, host: str, port: int) -> tuple[str, int]:
         """Starts to listen; returns the address, with the port chosen."""
         self._server = await asyncio.start_server(
-            self._accept, host, port, ssl=self._tls, limit=READ_BYTES
+            self._accept,
+            host,
+            port,
+            ssl=self._tls,
+            limit=READ_BYTES,
+            backlog=LISTEN_BACKLOG,
         )
         bound = self._server.sockets[0].getsockname()
         return bound[0], bound[1]
 
+    def begin_drain(self) -> None:
+        """Closes each connection after its next answer; still accepts new ones."""
+        self.draining = True
+
     async def drain(self, timeout_s: float) -> bool:
         """Stops accepting and waits for the running requests.
 
@@ -182,7 +193,7 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        connection = _Connection(self, self._handler, self._limits, reader, writer)
+        connection = _Connection(self, self._handler, reader, writer)
         self._connections.add(connection)
         try:
             await connection.serve()
@@ -200,13 +211,11 @@
         self,
         server: HttpServer,
         handler: Handler,
-        limits: HttpLimits,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         self._server = server
         self._handler = handler
-        self._limits = limits
         self._reader = reader
         self._writer = writer
         self._http = h11.Connection(h11.SERVER, MAX_HEAD_BYTES)
@@ -248,8 +257,7 @@
     async def _read_head(self) -> HttpRequest | None:
         """Reads the head of a request, or None if there is none."""
         try:
-            async with asyncio.timeout(self._limits.header_timeout_s):
-                event = await self._next_event()
+            event = await self._head_event()
         except TimeoutError:
             if self._http.trailing_data[0]:
                 await self._refuse_head("the head took too long", 408)
@@ -262,7 +270,7 @@
         self._body_bytes = 0
         self._wants_continue = self._http.they_are_waiting_for_100_continue
         headers = [(bytes(name), bytes(value)) for name, value in event.headers]
-        problem = _framing_problem(headers, self._limits.max_body_bytes)
+        problem = _framing_problem(headers, self._server.limits.max_body_bytes)
         if problem is not None:
             await self._write_response(refusal_response(problem), close=True)
             return None
@@ -277,6 +285,19 @@
             self._read_body,
         )
 
+    async def _head_event(self) -> Any:
+        """Returns the event of a head; time counts anew from its first byte."""
+        limits = self._server.limits
+        event = self._http.next_event()
+        if event is h11.NEED_DATA:
+            if not self._http.trailing_data[0]:
+                async with asyncio.timeout(limits.idle_timeout_s):
+                    data = await self._reader.read(READ_BYTES)
+                self._http.receive_data(data)
+            async with asyncio.timeout(limits.header_timeout_s):
+                event = await self._next_event()
+        return event
+
     async def _next_event(self) -> Any:
         while True:
             event = self._http.next_event()
@@ -294,7 +315,7 @@
         pieces: list[bytes] = []
         while True:
             try:
-                async with asyncio.timeout(self._limits.body_timeout_s):
+                async with asyncio.timeout(self._server.limits.body_timeout_s):
                     event = await self._next_event()
             except TimeoutError:
                 raise refused(ErrorCode.BAD_REQUEST, "the body took too long")
@@ -304,7 +325,7 @@
                 self._body_read.set()
                 return b"".join(pieces)
             self._body_bytes += len(event.data)
-            if self._body_bytes > self._limits.max_body_bytes:
+            if self._body_bytes > self._server.limits.max_body_bytes:
                 raise refused(ErrorCode.TOO_LARGE, "the body is too large")
             pieces.append(bytes(event.data))
 
--- a/wasabimux/cli/daemon.py
+++ b/wasabimux/cli/daemon.py
@@ -5,26 +5,24 @@
 import asyncio
 import json
 import logging
+import os
 import random
 import sys
 from pathlib import Path
-from typing import NoReturn, TypeVar
+from typing import TYPE_CHECKING, NoReturn, TypeVar
 
 from cyclopts import App
 from expression import Result
 
-from wasabimux.runtime import (
-    configure_logging,
-    platform_client,
-    run_agent,
-    run_entry,
-    wait_for_stop_signal,
-)
-from wasabimux.settings.check import check_fleet
 from wasabimux.settings.findings import Finding, read_document
-from wasabimux.settings.fleet import FleetSettings, RouteKind
-from wasabimux.settings.process import AgentSettings, EntrySettings
-from wasabimux.standins.embedded import EmbeddedFleet, run_embedded
+
+# Each command imports what its role needs: imports are time out of service at a start.
+if TYPE_CHECKING:
+    from wasabimux.settings.fleet import FleetSettings
+    from wasabimux.standins.embedded import EmbeddedFleet
+
+#: Environment variable with the path of the settings.
+SETTINGS_VARIABLE = "WASABIMUX_BOOT"
 
 EXIT_FAILED = 1
 EXIT_MISUSED = 2
@@ -46,6 +44,14 @@
     Args:
         settings: Settings of the process, a JSON file.
     """
+    from wasabimux.runtime import (
+        configure_logging,
+        platform_client,
+        run_entry,
+        wait_for_stop_signal,
+    )
+    from wasabimux.settings.process import EntrySettings
+
     configure_logging()
     checked = _checked(read_document(EntrySettings, settings), settings)
 
@@ -69,6 +75,9 @@
     Args:
         settings: Settings of the process, a JSON file.
     """
+    from wasabimux.runtime import configure_logging, run_agent, wait_for_stop_signal
+    from wasabimux.settings.process import AgentSettings
+
     configure_logging()
     checked = _checked(read_document(AgentSettings, settings), settings)
 
@@ -80,6 +89,36 @@
     _exit(asyncio.run(run()))
 
 
+@app.command
+def relay(settings: Path | None = None) -> None:
+    """Meets callers and passes their requests on unchanged.
+
+    Example: wasabimuxd relay /etc/wasabimux/relay.json
+
+    Args:
+        settings: Settings of the process, a JSON file; the file that the variable
+            WASABIMUX_BOOT names if this is left out.
+    """
+    from wasabimux.adapters.log_writer import LogWriter, log_to
+    from wasabimux.platform.relay_platform import relay_platform
+    from wasabimux.relay.process import run_relay, wait_for_end
+    from wasabimux.settings.process import RelaySettings
+
+    path = settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    checked = _checked(read_document(RelaySettings, path), path)
+
+    async def run() -> bool:
+        platform = relay_platform(checked.platform)
+        async with run_relay(checked, platform, random.Random()) as running:
+            await wait_for_end(path, running.timeline)
+            return await running.drain()
+
+    with LogWriter() as writer:
+        log_to(writer)
+        drained = asyncio.run(run())
+    _exit(drained)
+
+
 @app.command
 def embedded(
     fleet: Path,
@@ -98,6 +137,10 @@
         admin_port: Port for operators on 127.0.0.1.
         platform_port: Port of the platform's API on 127.0.0.1.
     """
+    from wasabimux.runtime import configure_logging, wait_for_stop_signal
+    from wasabimux.settings.check import check_fleet
+    from wasabimux.standins.embedded import run_embedded
+
     configure_logging("WARNING")
     document = json.loads(fleet.read_bytes())
     checked = _checked(check_fleet(document), fleet)
@@ -126,6 +169,8 @@
 
 def _curl_line(callers: str, fleet: FleetSettings) -> str:
     """Returns a command that streams a completion with an example key."""
+    from wasabimux.settings.fleet import RouteKind
+
     route = next(item for item in fleet.routes if item.kind is RouteKind.COMPLETIONS)
     workspace = (route.workspaces or [fleet.workspaces[0].id])[0]
     body = {
--- /dev/null
+++ b/wasabimux/decisions/decode_queue.py
@@ -0,0 +1,83 @@
+"""Who gets the next decode slot, and on which engine.
+
+Answers the load in which streams arrive faster than the engines' memory frees: the
+slot goes to the most urgent stream that can still be on time, then to the others, and
+a stream that cannot get a slot before its caller leaves is refused when it arrives.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from wasabimux.ids import UpstreamId
+
+
+class WaitingStream(NamedTuple):
+    """A stream that waits for a slot.
+
+    Attributes:
+        number: Order of arrival, unique in one queue.
+        priority: Rank of its route and workspace, 0 first.
+        tokens: Memory that it needs.
+        on_time_until_s: Until when a slot still gives an answer on time.
+    """
+
+    number: int
+    priority: int
+    tokens: int
+    on_time_until_s: float
+
+
+class EngineRoom(NamedTuple):
+    """Room of an engine as far as is known.
+
+    Attributes:
+        upstream: Its identity.
+        free_tokens: Memory that is free.
+        free_slots: Slots that are free.
+        near: True in the relay's own failure domain.
+    """
+
+    upstream: UpstreamId
+    free_tokens: int
+    free_slots: int
+    near: bool
+
+
+def order_waiting(waiting: Sequence[WaitingStream], now: float) -> list[WaitingStream]:
+    """Returns the streams in the order in which they get slots.
+
+    Those that can be on time come first, in order of arrival within a rank; those
+    that will be late anyway take what is left.
+    """
+    return sorted(
+        waiting,
+        key=lambda item: (item.on_time_until_s < now, item.priority, item.number),
+    )
+
+
+def roomiest(rooms: Sequence[EngineRoom], tokens: int) -> EngineRoom | None:
+    """Returns the engine with the most free memory that can take a stream."""
+    fitting = [
+        room for room in rooms if room.free_slots > 0 and room.free_tokens >= tokens
+    ]
+    return max(fitting, key=lambda room: (room.free_tokens, room.near), default=None)
+
+
+def expected_wait_s(
+    ahead: int, running: int, mean_stream_s: float, free_slots: int
+) -> float:
+    """Returns the expected wait for a slot.
+
+    Args:
+        ahead: Streams that wait already.
+        running: Streams that run and will free their slots.
+        mean_stream_s: Usual length of a stream.
+        free_slots: Slots that are free now.
+    """
+    if ahead < free_slots:
+        return 0.0
+    if running <= 0:
+        return mean_stream_s
+    return (ahead - free_slots + 1) * mean_stream_s / running
--- /dev/null
+++ b/wasabimux/link/_relay_codec.py
@@ -0,0 +1,85 @@
+"""Encoders and decoders of the messages among relays."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from wasabimux.link.messages import (
+    KindRevision,
+    RelayMembers,
+    RelayObject,
+    RelayObjects,
+    RelayUse,
+    UpstreamUse,
+    WorkspaceUse,
+)
+
+RUNNING_MAX = 2**16 - 1
+
+
+def encode_members(builder: Any, message: RelayMembers) -> None:
+    """Writes the addresses of relays."""
+    addresses = builder.init("relayMembers", len(message.addresses))
+    for index, address in enumerate(message.addresses):
+        addresses[index] = address
+
+
+def encode_use(builder: Any, message: RelayUse) -> None:
+    """Writes what a relay uses."""
+    use = builder.init("relayUse")
+    use.waiting = min(message.waiting, RUNNING_MAX)
+    workspaces = use.init("workspaces", len(message.workspaces))
+    for target, (workspace, charged) in zip(workspaces, message.workspaces):
+        target.workspace = workspace
+        target.charged = charged
+    upstreams = use.init("upstreams", len(message.upstreams))
+    for target, (upstream, running, tokens) in zip(upstreams, message.upstreams):
+        target.upstream = upstream
+        target.running = min(running, RUNNING_MAX)
+        target.tokens = tokens
+    revisions = use.init("revisions", len(message.revisions))
+    for target, (kind, revision) in zip(revisions, message.revisions):
+        target.kind = kind
+        target.revision = revision
+
+
+def encode_objects(builder: Any, message: RelayObjects) -> None:
+    """Writes objects that are passed on."""
+    relayed = builder.init("relayObjects")
+    relayed.kind = message.kind
+    relayed.revision = message.revision
+    relayed.whole = message.whole
+    objects = relayed.init("objects", len(message.objects))
+    for target, (name, revision, deleted, value) in zip(objects, message.objects):
+        target.name = name
+        target.revision = revision
+        target.deleted = deleted
+        target.value = value
+
+
+def decode_use(item: Any) -> RelayUse:
+    """Reads what a relay uses."""
+    use = item.relayUse
+    return RelayUse(
+        tuple(WorkspaceUse(part.workspace, part.charged) for part in use.workspaces),
+        tuple(
+            UpstreamUse(part.upstream, part.running, part.tokens)
+            for part in use.upstreams
+        ),
+        tuple(KindRevision(part.kind, part.revision) for part in use.revisions),
+        use.waiting,
+    )
+
+
+def decode_objects(item: Any) -> RelayObjects:
+    """Reads objects that are passed on."""
+    relayed = item.relayObjects
+    return RelayObjects(
+        relayed.kind,
+        relayed.revision,
+        relayed.whole,
+        tuple(
+            RelayObject(part.name, part.revision, part.deleted, part.value)
+            for part in relayed.objects
+        ),
+    )
--- a/wasabimux/link/codec.py
+++ b/wasabimux/link/codec.py
@@ -9,6 +9,13 @@
 import capnp
 
 from wasabimux.decisions.rate import GrantDecision, GrantOutcome, GrantReport, Spent
+from wasabimux.link._relay_codec import (
+    decode_objects,
+    decode_use,
+    encode_members,
+    encode_objects,
+    encode_use,
+)
 from wasabimux.link.messages import (
     Cancel,
     Claim,
@@ -29,6 +36,10 @@
     Open,
     Operation,
     Ping,
+    RelayLeaving,
+    RelayMembers,
+    RelayObjects,
+    RelayUse,
     SettingsUpdate,
     SettingsWanted,
     refusal_from_wire,
@@ -223,6 +234,10 @@
     hint.address = message.address
 
 
+def _encode_relay_leaving(builder: Any, message: RelayLeaving) -> None:
+    builder.relayLeaving = None
+
+
 _ENCODERS: dict[type, Callable[[Any, Any], None]] = {
     Hello: _encode_hello,
     Open: _encode_open,
@@ -242,6 +257,10 @@
     ClaimReply: _encode_claim_reply,
     HolderWanted: _encode_holder_wanted,
     HolderHint: _encode_holder_hint,
+    RelayMembers: encode_members,
+    RelayUse: encode_use,
+    RelayObjects: encode_objects,
+    RelayLeaving: _encode_relay_leaving,
 }
 
 
@@ -352,6 +371,10 @@
     "grantReply": _decode_grant_reply,
     "holderWanted": lambda item: HolderWanted(item.holderWanted),
     "holderHint": _decode_holder_hint,
+    "relayMembers": lambda item: RelayMembers(tuple(item.relayMembers)),
+    "relayUse": decode_use,
+    "relayObjects": decode_objects,
+    "relayLeaving": lambda item: RelayLeaving(),
     "claim": lambda item: Claim(item.claim.shard, item.claim.epoch),
     "claimReply": lambda item: ClaimReply(item.claimReply.shard, item.claimReply.epoch),
 }
--- a/wasabimux/link/messages.py
+++ b/wasabimux/link/messages.py
@@ -222,6 +222,79 @@
     accepting: bool
 
 
+class WorkspaceUse(NamedTuple):
+    """Tokens that a relay has charged to a workspace since its start."""
+
+    workspace: str
+    charged: float
+
+
+class UpstreamUse(NamedTuple):
+    """Requests that a relay has at an upstream, and the memory they take."""
+
+    upstream: str
+    running: int
+    tokens: int
+
+
+class KindRevision(NamedTuple):
+    """How far a relay follows a kind of the platform's objects."""
+
+    kind: str
+    revision: int
+
+
+class RelayMembers(NamedTuple):
+    """Addresses of the relays that the sender knows."""
+
+    addresses: tuple[str, ...]
+
+
+class RelayUse(NamedTuple):
+    """What a relay uses at present; sent at short intervals.
+
+    Attributes:
+        workspaces: Sums charged.
+        upstreams: Requests at upstreams.
+        revisions: How far the sender follows the platform.
+        waiting: Requests that wait for a decode slot.
+    """
+
+    workspaces: tuple[WorkspaceUse, ...]
+    upstreams: tuple[UpstreamUse, ...]
+    revisions: tuple[KindRevision, ...]
+    waiting: int
+
+
+class RelayObject(NamedTuple):
+    """An object of the platform, passed on by a relay that has read it."""
+
+    name: str
+    revision: int
+    deleted: bool
+    value: bytes
+
+
+class RelayObjects(NamedTuple):
+    """Objects of one kind, passed on to a relay that is behind.
+
+    Attributes:
+        kind: Kind of the objects.
+        revision: Revision of the store up to which these are complete.
+        whole: True if these are all objects of the kind.
+        objects: The objects.
+    """
+
+    kind: str
+    revision: int
+    whole: bool
+    objects: tuple[RelayObject, ...]
+
+
+class RelayLeaving(NamedTuple):
+    """Tells peers that the sender is about to end in good order."""
+
+
 Message = Union[
     Hello,
     Open,
@@ -241,6 +314,10 @@
     ClaimReply,
     HolderWanted,
     HolderHint,
+    RelayMembers,
+    RelayUse,
+    RelayObjects,
+    RelayLeaving,
 ]
 
 
--- a/wasabimux/link/wire.capnp
+++ b/wasabimux/link/wire.capnp
@@ -1,6 +1,6 @@
 @0xc3f1a0b7d2e94856;
 
-# Messages between entries and agents. Each TCP frame is a 4-byte big-endian
+# Messages between entries and agents, and among relays. Each TCP frame is a 4-byte big-endian
 # length followed by one Frame.
 
 struct Frame {
@@ -29,6 +29,10 @@
     claimReply @16 :ClaimReply;
     holderWanted @17 :UInt16; # asks a peer who holds a shard
     holderHint @18 :HolderHint;
+    relayMembers @19 :List(Text); # addresses of the relays that the sender knows
+    relayUse @20 :RelayUse;
+    relayObjects @21 :RelayObjects;
+    relayLeaving @22 :Void; # the sender is about to end in good order
   }
 }
 
@@ -148,3 +152,40 @@
   incarnation @2 :UInt64;
   address @3 :Text;
 }
+
+struct WorkspaceUse {
+  workspace @0 :Text;
+  charged @1 :Float64;    # tokens since the start of the sender
+}
+
+struct UpstreamUse {
+  upstream @0 :Text;
+  running @1 :UInt16;     # requests that the sender has there
+  tokens @2 :UInt32;      # tokens of memory that they take
+}
+
+struct KindRevision {
+  kind @0 :Text;
+  revision @1 :UInt64;
+}
+
+struct RelayUse {
+  workspaces @0 :List(WorkspaceUse);
+  upstreams @1 :List(UpstreamUse);
+  revisions @2 :List(KindRevision); # how far the sender follows the platform
+  waiting @3 :UInt16;     # requests that wait for a decode slot
+}
+
+struct RelayObject {
+  name @0 :Text;
+  revision @1 :UInt64;
+  deleted @2 :Bool;
+  value @3 :Data;
+}
+
+struct RelayObjects {
+  kind @0 :Text;
+  revision @1 :UInt64;
+  whole @2 :Bool;         # these are all objects of the kind
+  objects @3 :List(RelayObject);
+}
--- /dev/null
+++ b/wasabimux/platform/engine.py
@@ -0,0 +1,88 @@
+"""Calls to the platform's model engines."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from wasabimux.platform.headers import EXPECT_INSTANCE
+from wasabimux.ports import Headers
+from wasabimux.relay.ports import EngineCall, EngineReport, PhaseOrder
+
+JSON_HEADERS: Headers = [(b"content-type", b"application/json")]
+
+ORDER_ACCEPTED = 202
+ORDER_HOLDS = 200
+
+
+class PlatformEngines:
+    """Encodes calls to engines and decodes their answers."""
+
+    def take_hold(self, tokens: int, ttl_s: float) -> EngineCall:
+        """Reserves a slot and memory."""
+        return _post("/v1/hold-take", {"tokens": tokens, "ttlMs": int(ttl_s * 1000)})
+
+    def read_hold(self, status: int, body: bytes) -> str | None:
+        """Returns the reservation, None if there is no room."""
+        value = _object(status, body).get("hold")
+        return value if isinstance(value, str) else None
+
+    def drop_hold(self, hold: str) -> EngineCall:
+        """Gives a reservation back."""
+        return EngineCall("DELETE", f"/v1/hold-drop/{hold}", [], b"")
+
+    def read_handle(self, status: int, body: bytes) -> str | None:
+        """Returns the handle of a prefill, None if there is none."""
+        value = _object(status, body).get("kvHandle")
+        return value if isinstance(value, str) else None
+
+    def drop_handle(self, handle: str) -> EngineCall:
+        """Frees the KV cache of a prefill."""
+        return EngineCall("DELETE", f"/v1/kv-handle/{handle}", [], b"")
+
+    def order(self, order: PhaseOrder) -> EngineCall:
+        """Orders an engine to change its phase."""
+        call = _post(
+            "/v1/order",
+            {
+                "op": "phase",
+                "phase": "prefill" if order.prefill else "decode",
+                "holder": order.holder,
+                "fence": order.fence,
+                "expected": order.expected,
+            },
+        )
+        expect = (EXPECT_INSTANCE, order.upstream.encode())
+        return call._replace(headers=[*call.headers, expect])
+
+    def report(self) -> EngineCall:
+        """Asks for a report."""
+        return EngineCall("GET", "/v1/report", [], b"")
+
+    def read_report(self, status: int, body: bytes) -> EngineReport | None:
+        """Reads a report, None if there is none."""
+        found = _object(status, body)
+        numbers = [
+            found.get(name, 0)
+            for name in ("inFlight", "queued", "kvUsed", "held", "sequence")
+        ]
+        if not found or not all(isinstance(number, int) for number in numbers):
+            return None
+        running, waiting, used, held, orders = numbers
+        busy = bool(found.get("busy"))
+        return EngineReport(running, waiting, used, held, busy, orders)
+
+
+def _post(target: str, value: dict[str, Any]) -> EngineCall:
+    return EngineCall("POST", target, JSON_HEADERS, json.dumps(value).encode())
+
+
+def _object(status: int, body: bytes) -> dict[str, Any]:
+    """Returns the JSON object of a good answer, else an empty one."""
+    if status != 200:
+        return {}
+    try:
+        value = json.loads(body)
+    except ValueError:
+        return {}
+    return value if isinstance(value, dict) else {}
--- /dev/null
+++ b/wasabimux/relay/context.py
@@ -0,0 +1,75 @@
+"""One request on its way through a relay."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError
+from wasabimux.ids import UpstreamId, WorkspaceId
+from wasabimux.ports import Headers
+from wasabimux.relay.model import RelayRoute, RequestFacts, ServiceProfile
+
+#: Time taken off what is left, for the way back to the caller.
+RETURN_S = 0.03
+
+
+@dataclass(slots=True)
+class RelayRequest:
+    """A request with what was decided for it.
+
+    Attributes:
+        facts: What it says of itself.
+        method: HTTP method.
+        target: HTTP target as received.
+        headers: Headers as received.
+        body: Whole body.
+        route: Its route.
+        service: Service that it goes to.
+        workspace: Workspace of its key, None where none is needed.
+        drop_key: True where no upstream may see the Authorization header.
+        arrived_s: Loop time of its arrival.
+        deadline_s: Loop time at which it ends.
+        charged: Tokens charged to the workspace.
+        tried: Upstreams that it was sent to.
+        ran: Whether it has run, as far as is known.
+    """
+
+    facts: RequestFacts
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    route: RelayRoute
+    service: ServiceProfile
+    workspace: WorkspaceId | None
+    drop_key: bool
+    arrived_s: float
+    deadline_s: float
+    charged: float = 0.0
+    tried: list[UpstreamId] = field(default_factory=list)
+    ran: Ran = Ran.NO
+
+    def left_s(self, now: float) -> float:
+        """Returns the time until its end."""
+        return self.deadline_s - now
+
+    def may_send(self) -> bool:
+        """True while it may be sent to a further upstream."""
+        return len(self.tried) < self.route.max_attempts
+
+    def refusal(
+        self, code: ErrorCode, message: str, retry_after_s: float | None = None
+    ) -> RefusedError:
+        """Returns a final refusal that tells the truth on whether it ran."""
+        idempotent = self.route.idempotent
+        ran = self.ran
+        if code is ErrorCode.OVERLOADED and ran is not Ran.NO and not idempotent:
+            code = ErrorCode.UPSTREAM_LOST
+        error = RefusedError(Refusal(code, message, ran, retry_after_s))
+        error.request_id = self.facts.id
+        return error
+
+    def scope(self) -> asyncio.Timeout:
+        """Returns a scope that ends with the request's time."""
+        return asyncio.timeout_at(self.deadline_s)
--- /dev/null
+++ b/wasabimux/relay/follower.py
@@ -0,0 +1,112 @@
+"""Follows kinds of the platform's objects: a list once, then watches."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from wasabimux._clock import loop_time
+from wasabimux.ports import StoreUnavailable
+from wasabimux.relay.ports import HistoryLost, ObjectStore
+from wasabimux.relay.view import FleetView
+from wasabimux.timeline import Timeline
+
+#: Length of a watch. It bounds for how long a store that has gone silent on an open
+#: connection stays unnoticed.
+WATCH_S = 6.0
+
+#: Waits between calls while the store does not answer, with jitter below.
+FIRST_RETRY_S = 0.1
+MAX_RETRY_S = 0.8
+
+#: Time after the store's return in which entries that lapsed may still come back.
+RETURN_S = 2.5
+
+
+class Follower:
+    """Follows one kind.
+
+    Args:
+        kind: Kind of the objects.
+        store: The platform's store.
+        view: Takes what is found.
+        timeline: Records losses and returns of the store.
+        rng: Source of jitter.
+    """
+
+    def __init__(
+        self,
+        kind: str,
+        store: ObjectStore,
+        view: FleetView,
+        timeline: Timeline,
+        rng: random.Random,
+    ) -> None:
+        self._kind = kind
+        self._store = store
+        self._view = view
+        self._timeline = timeline
+        self._rng = rng
+        self._reached = False
+        self._lost_s: float | None = None
+        self._returned_s = -RETURN_S
+
+    @property
+    def reached(self) -> bool:
+        """True if the store answered the last call."""
+        return self._reached
+
+    async def run(self) -> None:
+        """Follows until it is cancelled."""
+        retry_s = FIRST_RETRY_S
+        revision = 0
+        while True:
+            try:
+                revision = await self._step(revision)
+                retry_s = FIRST_RETRY_S
+            except HistoryLost:
+                self._timeline.record(
+                    "history_lost", kind=self._kind, revision=revision
+                )
+                revision = 0
+            except StoreUnavailable as error:
+                self._on_lost(error)
+                await asyncio.sleep(self._rng.uniform(retry_s / 2, retry_s))
+                retry_s = min(MAX_RETRY_S, retry_s * 2)
+
+    async def _step(self, revision: int) -> int:
+        """Makes one call and returns the revision to go on from."""
+        if revision == 0:
+            listed = await self._store.list(self._kind)
+            after_outage = self._on_answer()
+            self._view.apply_list(
+                self._kind, listed.objects, listed.revision, loop_time(), after_outage
+            )
+            return listed.revision
+        found = await self._store.watch(self._kind, revision, WATCH_S)
+        after_outage = self._on_answer()
+        self._view.apply_changes(
+            self._kind, found.changes, found.revision, loop_time(), after_outage
+        )
+        return found.revision
+
+    def _on_answer(self) -> bool:
+        """Notes an answer; returns True soon after the store was away."""
+        now = loop_time()
+        if not self._reached:
+            away_s = 0.0 if self._lost_s is None else now - self._lost_s
+            self._timeline.record(
+                "store_regained", kind=self._kind, away_s=round(away_s, 3)
+            )
+            if self._lost_s is not None:
+                self._returned_s = now
+            self._lost_s = None
+        self._reached = True
+        return now - self._returned_s < RETURN_S
+
+    def _on_lost(self, error: StoreUnavailable) -> None:
+        if self._lost_s is None:
+            self._lost_s = loop_time()
+        if self._reached:
+            self._timeline.record("store_lost", kind=self._kind, error=error)
+        self._reached = False
--- /dev/null
+++ b/wasabimux/relay/placing.py
@@ -0,0 +1,117 @@
+"""Finds the upstreams that may take a request, and counts what runs where."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from wasabimux.decisions.upstream_choice import CallCandidate, choose_upstream
+from wasabimux.ids import FailureDomainId, UpstreamId
+from wasabimux.relay.mesh import Mesh
+from wasabimux.relay.model import Phase, ServiceProfile
+from wasabimux.relay.upstreams import Upstream, UpstreamPool
+from wasabimux.relay.view import FleetView
+
+#: Part of a cold upstream's bound that all relays together use.
+COLD_SHARE = 0.8
+
+
+class Placing:
+    """What may be sent where, at the moment of sending.
+
+    Args:
+        view: What the relay believes.
+        pool: Upstreams.
+        failure_domain: Where the relay runs.
+        rng: Source of random choices.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        pool: UpstreamPool,
+        failure_domain: FailureDomainId,
+        rng: random.Random,
+    ) -> None:
+        self.mesh: Mesh | None = None
+        self._view = view
+        self._pool = pool
+        self._failure_domain = failure_domain
+        self._rng = rng
+
+    def may_take(self, upstream: Upstream) -> bool:
+        """Tells whether an upstream may get new work at all."""
+        known = self._pool.by_id.get(upstream.id) is upstream
+        return (
+            known
+            and not upstream.record.draining
+            and not upstream.leaving
+            and upstream.record.failure_domain not in self._view.evacuated
+        )
+
+    def usable(
+        self,
+        service: str,
+        now: float,
+        avoid: list[UpstreamId],
+        suits: Callable[[Upstream], bool] = lambda upstream: True,
+    ) -> list[Upstream]:
+        """Returns the upstreams that may take a request of a service.
+
+        Those that rest after failures are used only if there is no other.
+        """
+        found = [
+            upstream
+            for upstream in self._pool.of_service(service)
+            if self.may_take(upstream) and upstream.id not in avoid and suits(upstream)
+        ]
+        awake = [item for item in found if not item.health.is_resting(now)]
+        return awake or found
+
+    def choose_plain(
+        self, service: str, now: float, avoid: list[UpstreamId]
+    ) -> Upstream | None:
+        """Chooses the upstream for a call of a plain service."""
+        upstreams = {item.id: item for item in self.usable(service, now, avoid)}
+        if not upstreams:
+            return None
+        elsewhere = self.running_elsewhere()
+        candidates = [
+            CallCandidate(
+                item.id,
+                item.record.slots,
+                item.running + elsewhere.get(item.id, (0, 0))[0],
+                item.health.latency_s,
+                item.health.failure_share(now),
+                item.record.failure_domain == self._failure_domain,
+            )
+            for item in upstreams.values()
+        ]
+        return upstreams[choose_upstream(candidates, self._rng).upstream]
+
+    def engines(
+        self, service: str, phase: Phase, now: float, avoid: list[UpstreamId]
+    ) -> list[Upstream]:
+        """Returns the engines of a phase that may take a request."""
+        return self.usable(service, now, avoid, lambda item: item.phase is phase)
+
+    def running_elsewhere(self) -> dict[UpstreamId, tuple[int, int]]:
+        """Returns requests and tokens that peers have at upstreams."""
+        sums: dict[UpstreamId, tuple[int, int]] = {}
+        for peer in self.mesh.peers_by_address.values() if self.mesh else ():
+            for upstream, running, tokens in peer.use.upstreams if peer.use else ():
+                before = sums.get(UpstreamId(upstream), (0, 0))
+                total = (before[0] + running, before[1] + tokens)
+                sums[UpstreamId(upstream)] = total
+        return sums
+
+    def waiting_elsewhere(self) -> int:
+        """Returns the streams that wait for a slot at peers."""
+        peers = self.mesh.peers_by_address.values() if self.mesh else ()
+        return sum(peer.use.waiting for peer in peers if peer.use)
+
+    def may_send(self, upstream: Upstream, service: ServiceProfile, now: float) -> bool:
+        """Checks the bound of a cold upstream and counts the request."""
+        members = self.mesh.members() if self.mesh else 1
+        per_s = COLD_SHARE * service.cold_per_s / members
+        return service.cold_per_s <= 0 or upstream.may_send_cold(per_s, now)
--- /dev/null
+++ b/wasabimux/relay/relay.py
@@ -0,0 +1,253 @@
+"""The relay: meets callers and passes their requests on unchanged."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+from wasabimux._clock import loop_time
+from wasabimux.adapters.http_server import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    refusal_response,
+)
+from wasabimux.decisions.retry_window import RetryWindow
+from wasabimux.decisions.shared_bucket import SharedBuckets
+from wasabimux.entry.peers import PeerLinks
+from wasabimux.errors import Ran, RefusedError
+from wasabimux.ids import FailureDomainId, RequestId, WorkspaceId, new_incarnation
+from wasabimux.link.channels import connect_tcp
+from wasabimux.link.link import Link, LinkTraffic
+from wasabimux.link.messages import Message, RelayUse, UpstreamUse, WorkspaceUse
+from wasabimux.relay.admission import Admission
+from wasabimux.relay.context import RelayRequest
+from wasabimux.relay.follower import Follower
+from wasabimux.relay.generation import GenerationFlow
+from wasabimux.relay.mesh import Mesh, hello_of
+from wasabimux.relay.model import WorkspaceRules
+from wasabimux.relay.placing import Placing
+from wasabimux.relay.plain import PlainFlow
+from wasabimux.relay.ports import Dialect, Documents, EngineDialect, ObjectStore
+from wasabimux.relay.registration import Registration
+from wasabimux.relay.slots import SlotDesk
+from wasabimux.relay.upstreams import UpstreamPool
+from wasabimux.relay.view import FleetView
+from wasabimux.settings.process import RelaySettings
+from wasabimux.timeline import Timeline
+
+#: Time between looks at what expires by itself.
+EXPIRE_S = 0.2
+
+
+class RelayPlatform:
+    """What a relay needs of the platform that it runs on.
+
+    Args:
+        store: The platform's store.
+        documents: Decodes its documents.
+        dialect: Headers of requests and answers.
+        engines: Calls of engines.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        documents: Documents,
+        dialect: Dialect,
+        engines: EngineDialect,
+    ) -> None:
+        self.store = store
+        self.documents = documents
+        self.dialect = dialect
+        self.engines = engines
+
+
+class Relay:
+    """Serves callers; a context manager that ends its links and connections.
+
+    Args:
+        settings: Settings of the process.
+        platform: The platform that it runs on.
+        timeline: Records events.
+        rng: Source of random choices.
+    """
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        platform: RelayPlatform,
+        timeline: Timeline,
+        rng: random.Random,
+    ) -> None:
+        domain = FailureDomainId(settings.failure_domain)
+        self.incarnation = new_incarnation()
+        self.traffic = LinkTraffic()
+        self.pool = UpstreamPool()
+        self.view = FleetView(platform.documents, timeline, self._on_change)
+        self.server: HttpServer | None = None
+        self._timeline = timeline
+        self._dialect = platform.dialect
+        self._buckets = SharedBuckets()
+        self._retries = RetryWindow(
+            settings.retry_ratio, settings.retry_extra, settings.retry_window_s
+        )
+        self.links = PeerLinks(
+            hello_of(settings.instance, self.incarnation),
+            connect_tcp,
+            timeline.clock,
+            self.traffic,
+            self._on_peer_message,
+        )
+        self.mesh = Mesh(
+            settings.peers,
+            self.links,
+            self.view,
+            self.use,
+            self._on_peer_use,
+            lambda life: self._buckets.forget_peer(str(life)),
+            timeline,
+        )
+        self.placing = Placing(self.view, self.pool, domain, rng)
+        self.placing.mesh = self.mesh
+        self.slots = SlotDesk(self.placing, platform.engines, domain, timeline)
+        self._admission = Admission(self.view, platform.dialect, self._buckets, rng)
+        self._plain = PlainFlow(self.placing, platform.dialect, self._retries, timeline)
+        self._generation = GenerationFlow(
+            self.placing,
+            self.slots,
+            platform.dialect,
+            platform.engines,
+            self._retries,
+            timeline,
+        )
+        kinds = platform.documents.kinds
+        self._followers = [
+            Follower(kind, platform.store, self.view, timeline, rng)
+            for kind in (kinds.desired_state, kinds.upstreams, kinds.evacuations)
+        ]
+        self._registration = Registration(
+            kinds.relays,
+            settings.instance,
+            settings.peers,
+            settings.seeds,
+            platform.store,
+            self.mesh,
+            timeline,
+            rng,
+        )
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._rules_by_workspace: dict[str, WorkspaceRules] = {}
+
+    def __enter__(self) -> Relay:
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for task in self._tasks:
+            task.cancel()
+        self.links.__exit__()
+        self.pool.__exit__()
+
+    def start(self) -> None:
+        """Starts to follow the platform and peers."""
+        runs = [follower.run() for follower in self._followers]
+        runs += [self.mesh.run(), self.slots.run(), self._registration.run()]
+        runs += [self._expire()]
+        self._tasks = [asyncio.ensure_future(run) for run in runs]
+
+    @property
+    def ready(self) -> bool:
+        """True while new callers should come here."""
+        return self.view.desired is not None and bool(self.pool.by_id)
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answers one request of a caller."""
+        try:
+            return await self._handle(request)
+        except RefusedError as error:
+            self._record_refusal(error, loop_time() - request.arrived_s)
+            response = refusal_response(error.refusal)
+            response.headers += self._dialect.own_headers(RequestId(error.request_id))
+            return response
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        body = await request.body()
+        now = loop_time()
+        admitted = self._admission.admit(request, body, now)
+        self._retries.on_request(now)
+        try:
+            return await self._serve(admitted)
+        except RefusedError:
+            if admitted.ran is Ran.NO:
+                self._admission.refund(admitted)
+            raise
+
+    async def _serve(self, request: RelayRequest) -> HttpResponse:
+        if request.service.engine is not None:
+            return await self._generation.serve(request)
+        return await self._plain.serve(request)
+
+    def use(self) -> RelayUse:
+        """Returns what this relay uses, for its peers."""
+        return RelayUse(
+            tuple(
+                WorkspaceUse(workspace, charged)
+                for workspace, charged in self._buckets.charged().items()
+            ),
+            tuple(
+                UpstreamUse(item.id, item.running, item.tokens)
+                for item in self.pool.by_id.values()
+                if item.running
+            ),
+            (),
+            self.slots.waiting,
+        )
+
+    def _on_change(self, now: float) -> None:
+        """Takes a change of belief into use."""
+        self.pool.apply(self.view.upstream_by_id.values(), now)
+        desired = self.view.desired
+        if desired is not None:
+            rules = desired.workspace_by_key.values()
+            self._rules_by_workspace = {item.id: item for item in rules}
+            self._buckets.keep_only(set(self._rules_by_workspace))
+            if self.server is not None:
+                self.server.limits = self.server.limits._replace(
+                    max_body_bytes=desired.limits.max_body_bytes,
+                    header_timeout_s=desired.limits.header_timeout_s,
+                    idle_timeout_s=desired.limits.idle_timeout_s,
+                )
+        self.slots.wake()
+
+    def _on_peer_message(self, link: Link, message: Message) -> None:
+        self.mesh.on_message(link, message)
+
+    def _on_peer_use(self, life: int, use: RelayUse) -> None:
+        now = loop_time()
+        for workspace, charged in use.workspaces:
+            rules = self._rules_by_workspace.get(WorkspaceId(workspace))
+            if rules is not None and rules.rate is not None:
+                self._buckets.on_peer(str(life), workspace, charged, rules.rate, now)
+        self.slots.wake()
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_S)
+            now = loop_time()
+            self.view.expire(now)
+            members = self.mesh.members()
+            self._retries.set_members(members)
+            self._buckets.set_silent(self.mesh.silent(now), members)
+
+    def _record_refusal(self, error: RefusedError, age_s: float) -> None:
+        refusal = error.refusal
+        self._timeline.record(
+            "refused_to_caller",
+            error.request_id,
+            code=refusal.code.value,
+            ran=refusal.ran.value,
+            reason=refusal.message,
+            age_ms=round(age_s * 1000),
+            retry_after_s=refusal.retry_after_s,
+        )
--- a/wasabimux/runtime.py
+++ b/wasabimux/runtime.py
@@ -106,7 +106,10 @@
         settings.peers,
     )
     limits = HttpLimits(
-        settings.max_body_bytes, settings.header_timeout_s, settings.body_timeout_s
+        settings.max_body_bytes,
+        settings.header_timeout_s,
+        settings.body_timeout_s,
+        settings.header_timeout_s,
     )
     callers = HttpServer(entry.handle, limits)
 
--- a/wasabimux/settings/process.py
+++ b/wasabimux/settings/process.py
@@ -17,6 +17,7 @@
 
     ENTRY = "entry"
     AGENT = "agent"
+    RELAY = "relay"
 
 
 class UpstreamKind(Enum):
@@ -104,3 +105,33 @@
     link: Address
     kind: UpstreamKind
     upstream: Address
+
+
+class RelaySettings(ProcessSettings):
+    """Settings of a relay.
+
+    Attributes:
+        callers: Address for callers, as `IP:PORT`.
+        ready: Address on which a balancer asks for readiness.
+        ready_path: Path of that question.
+        peers: Address for links from other relays.
+        seeds: Addresses of relays to link to when the store does not answer.
+        platform: Address of the platform's store.
+        grace_s: Time from SIGTERM until the process is killed.
+        retry_ratio: Requests sent once more for each request of a caller.
+        retry_extra: Requests sent once more beyond that, all relays together.
+        retry_window_s: Window in which both are counted.
+        order_lease_ms: Time for which a holder that gave orders keeps the duty.
+    """
+
+    callers: Address
+    ready: Address
+    ready_path: str
+    peers: Address
+    seeds: list[Address] = Field(default_factory=list)
+    platform: Address
+    grace_s: float = Field(default=8.0, gt=0)
+    retry_ratio: float = Field(default=0.2, ge=0)
+    retry_extra: float = Field(default=10.0, ge=0)
+    retry_window_s: float = Field(default=10.0, gt=0)
+    order_lease_ms: float = Field(default=3_000.0, gt=0)
