Exchange use among all relays, order phases, charge streams by forecast

Cause: relays that started together each read the store before the others had written their entries, so some never linked; buckets and memory of peers were unknown there. Slots whose waiter gave up as they were granted leaked; they are given back now.

--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -199,6 +199,8 @@
             await connection.serve()
         except (OSError, TimeoutError, asyncio.CancelledError):
             pass  # the caller has left, or the process is ending
+        except RefusedError:
+            pass  # the answer was cut, which its flow has recorded
         finally:
             self._connections.discard(connection)
             writer.close()
--- a/wasabimux/decisions/decode_queue.py
+++ b/wasabimux/decisions/decode_queue.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from wasabimux.decisions.memory_forecast import Forecast, fits, free_memory
 from wasabimux.ids import UpstreamId
 
 
@@ -19,13 +20,17 @@
     Attributes:
         number: Order of arrival, unique in one queue.
         priority: Rank of its route and workspace, 0 first.
-        tokens: Memory that it needs.
+        beyond_share: True if its workspace has used up its share.
+        last_chance: True if its caller comes back from a refusal and will not again.
+        memory: Memory that it is expected to take.
         on_time_until_s: Until when a slot still gives an answer on time.
     """
 
     number: int
     priority: int
-    tokens: int
+    beyond_share: bool
+    last_chance: bool
+    memory: Forecast
     on_time_until_s: float
 
 
@@ -34,33 +39,48 @@
 
     Attributes:
         upstream: Its identity.
-        free_tokens: Memory that is free.
+        memory_tokens: Its memory.
+        used: Memory that its streams are expected to take.
         free_slots: Slots that are free.
         near: True in the relay's own failure domain.
     """
 
     upstream: UpstreamId
-    free_tokens: int
+    memory_tokens: int
+    used: Forecast
     free_slots: int
     near: bool
 
+    @property
+    def free_tokens(self) -> float:
+        """Memory that is free when it is fullest."""
+        return free_memory(self.memory_tokens, self.used)
+
 
 def order_waiting(waiting: Sequence[WaitingStream], now: float) -> list[WaitingStream]:
     """Returns the streams in the order in which they get slots.
 
-    Those that can be on time come first, in order of arrival within a rank; those
-    that will be late anyway take what is left.
+    Those that can be on time come first, then those whose workspaces are within their
+    shares, by rank, and those whose callers will not come back.
     """
     return sorted(
         waiting,
-        key=lambda item: (item.on_time_until_s < now, item.priority, item.number),
+        key=lambda item: (
+            item.on_time_until_s < now,
+            item.beyond_share,
+            item.priority,
+            not item.last_chance,
+            item.number,
+        ),
     )
 
 
-def roomiest(rooms: Sequence[EngineRoom], tokens: int) -> EngineRoom | None:
+def roomiest(rooms: Sequence[EngineRoom], memory: Forecast) -> EngineRoom | None:
     """Returns the engine with the most free memory that can take a stream."""
     fitting = [
-        room for room in rooms if room.free_slots > 0 and room.free_tokens >= tokens
+        room
+        for room in rooms
+        if room.free_slots > 0 and fits(room.memory_tokens, room.used, memory)
     ]
     return max(fitting, key=lambda room: (room.free_tokens, room.near), default=None)
 
--- a/wasabimux/decisions/shared_bucket.py
+++ b/wasabimux/decisions/shared_bucket.py
@@ -8,27 +8,99 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from wasabimux.decisions.rate import RateRules
 
+#: Part of what a window may hold that is used. The rest covers what relays charge
+#: before they hear of one another, and what was charged before a restart.
+TOLERANCE_PART = 0.8
+
+#: Precision of a window's sum.
+BIN_S = 0.2
+
+#: Time by which a request may reach its upstream later than it was charged.
+SEND_DELAY_S = 1.5
+
 #: Part of the burst with which a replica starts that knows nothing of the past.
 FRESH_SHARE = 0.5
 
 
+class RateTolerance(NamedTuple):
+    """By how much the requests of a window may exceed a limit.
+
+    Attributes:
+        window_s: Length of the window.
+        share: Part of what the limit allows in a window.
+        tokens: Tokens beyond that part.
+    """
+
+    window_s: float
+    share: float
+    tokens: float
+
+    def allowed(self, rules: RateRules) -> float:
+        """Returns the most tokens that may be charged in one window."""
+        within = rules.rate * self.window_s + rules.burst
+        return TOLERANCE_PART * (within * (1 + self.share) + self.tokens)
+
+
+class Charge(NamedTuple):
+    """What came of charging a request.
+
+    Attributes:
+        wait_s: Time until it can be charged; 0 if it was.
+        beyond_share: True if only the tolerance let it in.
+    """
+
+    wait_s: float = 0.0
+    beyond_share: bool = False
+
+
+class _Window:
+    """Sum of the last seconds, kept in bins."""
+
+    __slots__ = ("_bins", "_sum")
+
+    def __init__(self) -> None:
+        self._bins: deque[tuple[float, float]] = deque()
+        self._sum = 0.0
+
+    def add(self, tokens: float, now: float) -> None:
+        if self._bins and now - self._bins[-1][0] < BIN_S:
+            since, before = self._bins.pop()
+            self._bins.append((since, before + tokens))
+        else:
+            self._bins.append((now, tokens))
+        self._sum += tokens
+
+    def sum(self, window_s: float, now: float) -> float:
+        while self._bins and self._bins[0][0] <= now - window_s - BIN_S:
+            self._sum -= self._bins.popleft()[1]
+        return self._sum
+
+
 @dataclass(slots=True)
 class _Replica:
     rules: RateRules
     level: float
     filled_s: float
     charged: float = 0.0
+    window: _Window = field(default_factory=_Window)
     charged_by_peer: dict[str, float] = field(default_factory=dict)
 
 
 class SharedBuckets:
-    """The buckets of all workspaces at one relay."""
+    """The buckets of all workspaces at one relay.
 
-    def __init__(self) -> None:
+    Args:
+        tolerance: By how much limits may be exceeded.
+    """
+
+    def __init__(self, tolerance: RateTolerance) -> None:
+        self._tolerance = tolerance
         self._replica_by_workspace: dict[str, _Replica] = {}
         self._silent_share = 0.0
 
@@ -43,33 +115,43 @@
 
     def charge(
         self, workspace: str, rules: RateRules, tokens: float, now: float
-    ) -> float:
-        """Charges a request.
+    ) -> Charge:
+        """Charges a request if the share or the tolerance allows it.
 
         Args:
             workspace: Workspace to charge.
             rules: Its limits.
             tokens: What the request can use.
             now: Present time in s.
-
-        Returns:
-            0 if it was charged, else the time in s until it can be.
         """
         replica = self._replica(workspace, rules, now)
         self._refill(replica, now)
         missing = min(tokens, rules.burst) - replica.level
-        if missing > 0:
-            return missing / max(1e-9, self._rate(replica))
-        replica.level -= tokens
+        if missing > 0 and not self._tolerates(replica, tokens, now):
+            return Charge(missing / max(1e-9, self._rate(replica)))
+        replica.level = max(-rules.burst, replica.level - tokens)
         replica.charged += tokens
-        return 0.0
+        replica.window.add(tokens, now)
+        return Charge(beyond_share=missing > 0)
 
-    def refund(self, workspace: str, tokens: float) -> None:
+    def _tolerates(self, replica: _Replica, tokens: float, now: float) -> bool:
+        """Tells whether the window has room beyond the share."""
+        allowed = self._tolerance.allowed(replica.rules) * (1.0 - self._silent_share)
+        window_s = self._tolerance.window_s + SEND_DELAY_S
+        return replica.window.sum(window_s, now) + tokens <= allowed
+
+    def refund(self, workspace: str, tokens: float, now: float) -> None:
         """Gives back what a request was charged that did not run."""
         replica = self._replica_by_workspace.get(workspace)
         if replica is not None:
             replica.level = min(replica.rules.burst, replica.level + tokens)
             replica.charged -= tokens
+            replica.window.add(-tokens, now)
+
+    def level(self, workspace: str) -> float:
+        """Returns the tokens that a workspace had left when it was last charged."""
+        replica = self._replica_by_workspace.get(workspace)
+        return 0.0 if replica is None else replica.level
 
     def charged(self) -> dict[str, float]:
         """Returns the sums that this relay has charged, for its peers."""
@@ -95,7 +177,9 @@
         before = replica.charged_by_peer.get(peer)
         replica.charged_by_peer[peer] = charged
         if before is not None:
-            replica.level = min(rules.burst, replica.level - (charged - before))
+            level = replica.level - (charged - before)
+            replica.level = max(-rules.burst, min(rules.burst, level))
+            replica.window.add(charged - before, now)
 
     def forget_peer(self, peer: str) -> None:
         """Drops what is known of a peer's life that has ended."""
--- a/wasabimux/link/_relay_codec.py
+++ b/wasabimux/link/_relay_codec.py
@@ -36,7 +36,7 @@
     for target, (upstream, running, tokens) in zip(upstreams, message.upstreams):
         target.upstream = upstream
         target.running = min(running, RUNNING_MAX)
-        target.tokens = tokens
+        target.tokens = [max(0, int(number)) for number in tokens]
     revisions = use.init("revisions", len(message.revisions))
     for target, (kind, revision) in zip(revisions, message.revisions):
         target.kind = kind
@@ -63,7 +63,7 @@
     return RelayUse(
         tuple(WorkspaceUse(part.workspace, part.charged) for part in use.workspaces),
         tuple(
-            UpstreamUse(part.upstream, part.running, part.tokens)
+            UpstreamUse(part.upstream, part.running, tuple(part.tokens))
             for part in use.upstreams
         ),
         tuple(KindRevision(part.kind, part.revision) for part in use.revisions),
--- a/wasabimux/link/messages.py
+++ b/wasabimux/link/messages.py
@@ -230,11 +230,17 @@
 
 
 class UpstreamUse(NamedTuple):
-    """Requests that a relay has at an upstream, and the memory they take."""
+    """Requests that a relay has at an upstream, and the memory they take.
+
+    Attributes:
+        upstream: Its identity.
+        running: Requests there.
+        tokens: Memory that they take now and at later points in time.
+    """
 
     upstream: str
     running: int
-    tokens: int
+    tokens: tuple[float, ...]
 
 
 class KindRevision(NamedTuple):
--- a/wasabimux/link/wire.capnp
+++ b/wasabimux/link/wire.capnp
@@ -161,7 +161,7 @@
 struct UpstreamUse {
   upstream @0 :Text;
   running @1 :UInt16;     # requests that the sender has there
-  tokens @2 :UInt32;      # tokens of memory that they take
+  tokens @2 :List(UInt32); # of memory that they take now and in the next seconds
 }
 
 struct KindRevision {
--- a/wasabimux/platform/documents.py
+++ b/wasabimux/platform/documents.py
@@ -103,6 +103,8 @@
     kv_retention_s: float
     role_switch_s: float = 0.0
     hold_ms: float = 0.0
+    #: Tokens in one event.
+    stride: int = 1
 
     def to_profile(self) -> EngineProfile:
         return EngineProfile(
@@ -111,6 +113,7 @@
             self.kv_retention_s,
             self.hold_ms / 1000,
             self.role_switch_s,
+            self.stride,
         )
 
 
@@ -176,7 +179,6 @@
     cold_remaining_ms: float = 0.0
     phase: Literal["prefill", "decode"] | None = None
     born: int = 0
-    sequence: int = 0
 
 
 def decode_desired_state(document: Any) -> Result[DesiredState, list[Finding]]:
@@ -228,7 +230,6 @@
             found.cold_remaining_ms / 1000,
             Phase(found.phase) if found.phase else None,
             found.born,
-            found.sequence,
         )
     )
 
--- a/wasabimux/platform/headers.py
+++ b/wasabimux/platform/headers.py
@@ -12,6 +12,8 @@
 DEADLINE_MS = b"wasabimux-deadline-ms"
 #: Prompt tokens and most output tokens, separated by a comma.
 TOKEN_COUNT = b"wasabimux-token-count"
+#: Caller's estimate of the answer's tokens, right at the median and often far off.
+LENGTH_HINT = b"wasabimux-length-hint"
 LAST_EVENT_ID = b"last-event-id"
 #: Digest of the answer, made by the upstream and passed on unchanged.
 SIGNATURE = b"wasabimux-response-signature"
@@ -62,6 +64,7 @@
             prompt,
             output,
             _number(by_name.get(LAST_EVENT_ID)),
+            _number(by_name.get(LENGTH_HINT)),
         )
 
     def request_headers(self, headers: Headers, options: SendOptions) -> Headers:
--- a/wasabimux/relay/admission.py
+++ b/wasabimux/relay/admission.py
@@ -19,6 +19,7 @@
 )
 from wasabimux.relay.ports import Dialect
 from wasabimux.relay.view import FleetView
+from wasabimux.timeline import Timeline
 
 #: When callers may come back to a relay that knows no desired state yet.
 START_RETRY_S = 0.5
@@ -34,6 +35,7 @@
         view: What the relay believes.
         dialect: Headers of requests.
         buckets: Limits of workspaces.
+        timeline: Records refusals with what decided them.
         rng: Source of random choices.
     """
 
@@ -42,11 +44,13 @@
         view: FleetView,
         dialect: Dialect,
         buckets: SharedBuckets,
+        timeline: Timeline,
         rng: random.Random,
     ) -> None:
         self._view = view
         self._dialect = dialect
         self._buckets = buckets
+        self._timeline = timeline
         self._rng = rng
 
     def admit(self, request: HttpRequest, body: bytes, now: float) -> RelayRequest:
@@ -87,10 +91,10 @@
             self._charge(admitted, workspace, now)
         return admitted
 
-    def refund(self, request: RelayRequest) -> None:
+    def refund(self, request: RelayRequest, now: float) -> None:
         """Gives back what a request was charged that did not run."""
         if request.workspace is not None and request.charged:
-            self._buckets.refund(request.workspace, request.charged)
+            self._buckets.refund(request.workspace, request.charged, now)
             request.charged = 0.0
 
     def _route(self, request: HttpRequest, facts: RequestFacts) -> RelayRoute:
@@ -130,15 +134,27 @@
             cost = workspace.plain_cost
             if facts.counts_tokens:
                 cost = float(facts.prompt_tokens + facts.output_tokens)
-        wait_s = self._buckets.charge(workspace.id, workspace.rate, cost, now)
-        if wait_s > 0:
+        charge = self._buckets.charge(workspace.id, workspace.rate, cost, now)
+        if charge.wait_s > 0:
+            self._timeline.record(
+                "share_used_up",
+                facts.id,
+                workspace.id,
+                cost=cost,
+                rate=workspace.rate.rate,
+                burst=workspace.rate.burst,
+                level=round(self._buckets.level(workspace.id)),
+                charged_here=round(self._buckets.charged()[workspace.id]),
+                wait_s=round(charge.wait_s, 3),
+            )
             raise _refused(
                 facts.id,
                 ErrorCode.RATE_LIMITED,
                 "the workspace has used up its share",
-                min(MAX_RETRY_AFTER_S, wait_s),
+                min(MAX_RETRY_AFTER_S, charge.wait_s),
             )
         request.charged = cost
+        request.beyond_share = charge.beyond_share
 
 
 def _refused(
--- a/wasabimux/relay/context.py
+++ b/wasabimux/relay/context.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError
 from wasabimux.ids import UpstreamId, WorkspaceId
@@ -13,6 +14,21 @@
 #: Time taken off what is left, for the way back to the caller.
 RETURN_S = 0.03
 
+#: Part of the route's time below which a request is one that has come back.
+LAST_CHANCE_PART = 0.95
+
+
+class Prefilled(NamedTuple):
+    """A KV cache that nobody has taken yet.
+
+    Attributes:
+        source: Where it is, as `IP:PORT/HANDLE`.
+        kept_until_s: Loop time until which it may be used.
+    """
+
+    source: str
+    kept_until_s: float
+
 
 @dataclass(slots=True)
 class RelayRequest:
@@ -31,8 +47,11 @@
         arrived_s: Loop time of its arrival.
         deadline_s: Loop time at which it ends.
         charged: Tokens charged to the workspace.
+        beyond_share: True if the workspace has used up its share, and only the
+            tolerance of its limit let the request in.
         tried: Upstreams that it was sent to.
         ran: Whether it has run, as far as is known.
+        prefilled: Its KV cache, if one waits to be taken.
     """
 
     facts: RequestFacts
@@ -47,13 +66,30 @@
     arrived_s: float
     deadline_s: float
     charged: float = 0.0
+    beyond_share: bool = False
     tried: list[UpstreamId] = field(default_factory=list)
     ran: Ran = Ran.NO
+    prefilled: Prefilled | None = None
+
+    @property
+    def last_chance(self) -> bool:
+        """True if the caller has waited before, so that it comes back from a refusal.
+
+        Callers give a request the time of its route; one that comes back has less.
+        """
+        left_s = self.facts.time_left_s
+        return left_s is not None and left_s < LAST_CHANCE_PART * self.route.timeout_s
 
     def left_s(self, now: float) -> float:
         """Returns the time until its end."""
         return self.deadline_s - now
 
+    def kv_source(self, now: float) -> str | None:
+        """Returns where its KV cache is, if it can still be taken."""
+        if self.prefilled is None or self.prefilled.kept_until_s <= now:
+            return None
+        return self.prefilled.source
+
     def may_send(self) -> bool:
         """True while it may be sent to a further upstream."""
         return len(self.tried) < self.route.max_attempts
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -13,9 +13,9 @@
 from wasabimux.errors import ErrorCode, Ran, RefusedError
 from wasabimux.ports import Headers, UpstreamLost
 from wasabimux.relay._events import EventSplitter, ServerEvent
-from wasabimux.relay.context import RelayRequest
+from wasabimux.relay.context import Prefilled, RelayRequest
 from wasabimux.relay.model import Phase, SendOptions
-from wasabimux.relay.placing import Placing
+from wasabimux.relay.placing import NOTHING_ELSEWHERE, Placing
 from wasabimux.relay.ports import Dialect, EngineDialect
 from wasabimux.relay.slots import Slot, SlotDesk
 from wasabimux.relay.upstreams import Upstream
@@ -30,6 +30,9 @@
 #: Tokens ahead at a prefill engine beyond which the decode engine reads by itself.
 MAX_PREFILL_AHEAD_TOKENS = 40_000
 
+#: Part of the time for which a KV cache is kept in which it is used once more.
+HANDLE_PART = 0.6
+
 #: When callers may come back after a failure without a slot.
 RETRY_AFTER_S = 0.5
 
@@ -126,7 +129,9 @@
     async def _attempt(self, request: RelayRequest, after: int | None) -> _Stream:
         slot = await self._slots.acquire(request, request.tried)
         try:
-            source = await self._prefill(request, slot.upstream)
+            source = request.kv_source(loop_time())
+            if source is None:
+                source = await self._prefill(request, slot.upstream)
             return await self._decode(request, slot, source, after)
         except BaseException:
             self._slots.release(slot, loop_time())
@@ -144,8 +149,10 @@
             return None
         started_s = loop_time()
         tokens = request.facts.prompt_tokens
+        elsewhere = self._placing.running_elsewhere().get(engine.id)
+        alone = engine.running == 0 and (elsewhere is None or not elsewhere.running)
         engine.running += 1
-        engine.tokens += tokens
+        engine.prefill_tokens += tokens
         try:
             async with asyncio.timeout(PREFILL_TIMEOUT_S):
                 response = await self._send(request, engine, prefill_only=True)
@@ -157,7 +164,7 @@
             return None
         finally:
             engine.running -= 1
-            engine.tokens -= tokens
+            engine.prefill_tokens -= tokens
         handle = self._engines.read_handle(response.status, body)
         took_ms = round((loop_time() - started_s) * 1000)
         if handle is None:
@@ -165,16 +172,23 @@
             self._record(request, "prefill_refused", engine, status=response.status)
             return None
         engine.health.on_answer(took_ms / 1000, loop_time())
+        if alone:
+            self._slots.on_prefill(took_ms / 1000)
         self._record(request, "prefilled", engine, took_ms=took_ms)
-        return f"{engine.record.address}/{handle}"
+        assert request.service.engine is not None
+        source = f"{engine.record.address}/{handle}"
+        kept_until_s = loop_time() + HANDLE_PART * request.service.engine.handle_s
+        request.prefilled = Prefilled(source, kept_until_s)
+        return source
 
     def _choose_prefill(self, request: RelayRequest) -> Upstream | None:
         now = loop_time()
         service = request.service
         elsewhere = self._placing.running_elsewhere()
 
-        def ahead(engine: Upstream) -> int:
-            return engine.tokens + elsewhere.get(engine.id, (0, 0))[1]
+        def ahead(engine: Upstream) -> float:
+            peers = elsewhere.get(engine.id, NOTHING_ELSEWHERE)
+            return engine.prefill_tokens + peers.memory[0]
 
         engines = [
             engine
@@ -202,6 +216,7 @@
             )
         request.tried.append(engine.id)
         slot.used = True
+        prefilled, request.prefilled = request.prefilled, None
         before, request.ran = request.ran, Ran.UNKNOWN
         try:
             response = await self._send(
@@ -216,19 +231,25 @@
                 ErrorCode.UPSTREAM_LOST, "the engine gave no answer", RETRY_AFTER_S
             ) from error
         try:
-            return await self._first_event(request, slot, response, before)
+            return await self._first_event(request, slot, response, before, prefilled)
         except BaseException:
             response.close()
             raise
 
     async def _first_event(
-        self, request: RelayRequest, slot: Slot, response: ClientResponse, before: Ran
+        self,
+        request: RelayRequest,
+        slot: Slot,
+        response: ClientResponse,
+        before: Ran,
+        prefilled: Prefilled | None,
     ) -> _Stream:
         engine = slot.upstream
         facts = self._dialect.read_answer(response.headers)
         if facts.not_executed or response.status == STATUS_MISDIRECTED:
             request.ran = before
             slot.used = False
+            request.prefilled = prefilled  # nobody has taken it
             self._on_not_taken(engine, response.status)
             self._record(request, "not_executed", engine, status=response.status)
             raise request.refusal(
@@ -249,6 +270,7 @@
             raise request.refusal(
                 ErrorCode.UPSTREAM_LOST, "the engine was lost"
             ) from error
+        slot.on_first_event(loop_time())
         first_ms = round((loop_time() - request.arrived_s) * 1000)
         engine.health.on_answer(0.0, loop_time())
         self._record(request, "first_event", engine, first_ms=first_ms)
@@ -283,6 +305,7 @@
                     stream.ready = []
                     if stream.ended:
                         owner.complete = True
+                        stream.slot.events = events
                         self._record(
                             request, "answered", stream.slot.upstream, events=events
                         )
@@ -340,7 +363,8 @@
         if status == STATUS_MISDIRECTED:
             engine.leaving = True
         else:
-            engine.health.on_failure(now)
+            # It granted a reservation and yet runs nothing, as while its phase changes.
+            engine.health.rest(now)
 
     def _record(
         self,
--- a/wasabimux/relay/mesh.py
+++ b/wasabimux/relay/mesh.py
@@ -101,9 +101,16 @@
         self._connecting: set[asyncio.Task[None]] = set()
 
     def add(self, address: str) -> None:
-        """Notes the address of a relay."""
-        if address != self._address and address not in self.peers_by_address:
-            self.peers_by_address[address] = Peer(address, loop_time())
+        """Notes the address of a relay, and tells it to the peers linked already.
+
+        Two relays that start together may each have read the store before the other
+        had written its entry; a third one that knows both then brings them together.
+        """
+        if address == self._address or address in self.peers_by_address:
+            return
+        self.peers_by_address[address] = Peer(address, loop_time())
+        for link in self._address_by_link:
+            link.send(0, self._members())
 
     def remove(self, address: str) -> None:
         """Forgets a relay that is gone for good."""
@@ -145,10 +152,7 @@
     def on_message(self, link: Link, message: Message) -> None:
         """Takes a message of a peer."""
         if isinstance(message, RelayMembers):
-            for address in message.addresses:
-                self.add(address)
-            if message.addresses:
-                self._on_introduced(link, message.addresses[0])
+            self._on_members(link, message)
         elif isinstance(message, RelayObjects):
             self._on_objects(message)
         elif isinstance(message, RelayUse):
@@ -158,6 +162,18 @@
             if sender in self.peers_by_address:
                 self.peers_by_address[sender].leaving = True
 
+    def _on_members(self, link: Link, message: RelayMembers) -> None:
+        for address in message.addresses:
+            self.add(address)
+        if message.addresses:
+            self._on_introduced(link, message.addresses[0])
+        if set(self._members().addresses) - set(message.addresses):
+            link.send(0, self._members())  # the sender does not know all of them
+
+    def _members(self) -> RelayMembers:
+        """Returns the members known here, this relay first."""
+        return RelayMembers((self._address, *self.peers_by_address))
+
     def _on_introduced(self, link: Link, address: str) -> None:
         peer = self.peers_by_address.get(address)
         if peer is None or link.peer is None:
@@ -239,8 +255,7 @@
             link = await self._links.link_to(address)
         except OSError:
             return
-        known = [address for address in self.peers_by_address]
-        link.send(0, RelayMembers((self._address, *known)))
+        link.send(0, self._members())
         if link not in self._address_by_link:
             self._on_introduced(link, address)
 
--- a/wasabimux/relay/model.py
+++ b/wasabimux/relay/model.py
@@ -81,6 +81,7 @@
         handle_s: Time for which the KV cache of a prefill is kept.
         hold_s: Longest reservation of a slot.
         switch_s: Time that a change of phase takes.
+        tokens_per_event: Tokens in one event of a stream.
     """
 
     slots: int
@@ -88,6 +89,7 @@
     handle_s: float
     hold_s: float
     switch_s: float
+    tokens_per_event: int
 
 
 class ServiceProfile(NamedTuple):
@@ -168,7 +170,6 @@
         cold_s: Time for which it bears little load, as of the entry's writing.
         phase: What an engine does, None for a plain service.
         born_ms: Start of this life, ms since the epoch; 0 if it does not say.
-        orders: Orders accepted in this life.
     """
 
     id: UpstreamId
@@ -180,7 +181,6 @@
     cold_s: float
     phase: Phase | None
     born_ms: int
-    orders: int
 
 
 class RequestFacts(NamedTuple):
@@ -193,6 +193,7 @@
         prompt_tokens: Tokens of the prompt, 0 for a plain call.
         output_tokens: Most tokens of the answer.
         last_event_id: Event after which a stream goes on, None from the start.
+        expected_tokens: Caller's estimate of the answer's length, None without one.
     """
 
     id: RequestId
@@ -201,6 +202,7 @@
     prompt_tokens: int
     output_tokens: int
     last_event_id: int | None
+    expected_tokens: int | None = None
 
     @property
     def counts_tokens(self) -> bool:
--- a/wasabimux/relay/placing.py
+++ b/wasabimux/relay/placing.py
@@ -4,7 +4,9 @@
 
 import random
 from collections.abc import Callable
+from typing import NamedTuple
 
+from wasabimux.decisions.memory_forecast import NOTHING, Forecast, total
 from wasabimux.decisions.upstream_choice import CallCandidate, choose_upstream
 from wasabimux.ids import FailureDomainId, UpstreamId
 from wasabimux.relay.mesh import Mesh
@@ -16,6 +18,16 @@
 COLD_SHARE = 0.8
 
 
+class Elsewhere(NamedTuple):
+    """Requests that peers have at an upstream, and the memory they take."""
+
+    running: int
+    memory: Forecast
+
+
+NOTHING_ELSEWHERE = Elsewhere(0, NOTHING)
+
+
 class Placing:
     """What may be sent where, at the moment of sending.
 
@@ -49,6 +61,10 @@
             and upstream.record.failure_domain not in self._view.evacuated
         )
 
+    def by_id(self, upstream: UpstreamId) -> Upstream | None:
+        """Returns an upstream, None if it is gone."""
+        return self._pool.by_id.get(upstream)
+
     def usable(
         self,
         service: str,
@@ -80,7 +96,7 @@
             CallCandidate(
                 item.id,
                 item.record.slots,
-                item.running + elsewhere.get(item.id, (0, 0))[0],
+                item.running + elsewhere.get(item.id, NOTHING_ELSEWHERE).running,
                 item.health.latency_s,
                 item.health.failure_share(now),
                 item.record.failure_domain == self._failure_domain,
@@ -95,14 +111,16 @@
         """Returns the engines of a phase that may take a request."""
         return self.usable(service, now, avoid, lambda item: item.phase is phase)
 
-    def running_elsewhere(self) -> dict[UpstreamId, tuple[int, int]]:
-        """Returns requests and tokens that peers have at upstreams."""
-        sums: dict[UpstreamId, tuple[int, int]] = {}
+    def running_elsewhere(self) -> dict[UpstreamId, Elsewhere]:
+        """Returns what peers run at upstreams, as they last said."""
+        sums: dict[UpstreamId, Elsewhere] = {}
         for peer in self.mesh.peers_by_address.values() if self.mesh else ():
-            for upstream, running, tokens in peer.use.upstreams if peer.use else ():
-                before = sums.get(UpstreamId(upstream), (0, 0))
-                total = (before[0] + running, before[1] + tokens)
-                sums[UpstreamId(upstream)] = total
+            for upstream, running, memory in peer.use.upstreams if peer.use else ():
+                before = sums.get(UpstreamId(upstream), NOTHING_ELSEWHERE)
+                added = memory if len(memory) == len(NOTHING) else NOTHING
+                sums[UpstreamId(upstream)] = Elsewhere(
+                    before.running + running, total([before.memory, added])
+                )
         return sums
 
     def waiting_elsewhere(self) -> int:
--- a/wasabimux/relay/process.py
+++ b/wasabimux/relay/process.py
@@ -13,6 +13,7 @@
 
 from aioprometheus.collectors import Registry
 
+from wasabimux._clock import loop_time
 from wasabimux.adapters.admin import AdminHandler
 from wasabimux.adapters.http_server import (
     HttpRequest,
@@ -155,7 +156,7 @@
                 "service": item.record.service,
                 "phase": item.phase.value if item.phase else None,
                 "running": item.running,
-                "tokens": item.tokens,
+                "memory": [round(number) for number in item.memory(loop_time())],
                 "draining": item.record.draining,
             }
             for item in relay.pool.by_id.values()
--- a/wasabimux/relay/registration.py
+++ b/wasabimux/relay/registration.py
@@ -66,14 +66,19 @@
         await self._remove_stale(entries)
 
     async def _register(self) -> list[PlatformObject]:
-        """Writes the entry unless it stands; returns those of others."""
+        """Writes the entry, then reads those of others.
+
+        In this order at least one of two relays that start together sees the other.
+        """
+        value = {"address": self._address}
+        try:
+            await self._store.create(self._kind, self._instance, value)
+        except StoreConflict:
+            self._timeline.record("registered_before")
         listed = await self._store.list(self._kind)
         by_name = {item.name: item for item in listed.objects}
         mine = by_name.pop(self._instance, None)
-        value = {"address": self._address}
-        if mine is None:
-            await self._store.create(self._kind, self._instance, value)
-        elif mine.value != value:
+        if mine is not None and mine.value != value:
             await self._store.replace(self._kind, self._instance, value, mine.revision)
         for item in by_name.values():
             if isinstance(item.value, dict) and "address" in item.value:
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -14,7 +14,7 @@
     refusal_response,
 )
 from wasabimux.decisions.retry_window import RetryWindow
-from wasabimux.decisions.shared_bucket import SharedBuckets
+from wasabimux.decisions.shared_bucket import RateTolerance, SharedBuckets
 from wasabimux.entry.peers import PeerLinks
 from wasabimux.errors import Ran, RefusedError
 from wasabimux.ids import FailureDomainId, RequestId, WorkspaceId, new_incarnation
@@ -23,10 +23,12 @@
 from wasabimux.link.messages import Message, RelayUse, UpstreamUse, WorkspaceUse
 from wasabimux.relay.admission import Admission
 from wasabimux.relay.context import RelayRequest
+from wasabimux.relay.duty import Duty
 from wasabimux.relay.follower import Follower
 from wasabimux.relay.generation import GenerationFlow
 from wasabimux.relay.mesh import Mesh, hello_of
 from wasabimux.relay.model import WorkspaceRules
+from wasabimux.relay.phases import PhaseKeeper
 from wasabimux.relay.placing import Placing
 from wasabimux.relay.plain import PlainFlow
 from wasabimux.relay.ports import Dialect, Documents, EngineDialect, ObjectStore
@@ -89,7 +91,11 @@
         self.server: HttpServer | None = None
         self._timeline = timeline
         self._dialect = platform.dialect
-        self._buckets = SharedBuckets()
+        self._buckets = SharedBuckets(
+            RateTolerance(
+                settings.rate_window_s, settings.rate_overage, settings.rate_slack
+            )
+        )
         self._retries = RetryWindow(
             settings.retry_ratio, settings.retry_extra, settings.retry_window_s
         )
@@ -112,7 +118,9 @@
         self.placing = Placing(self.view, self.pool, domain, rng)
         self.placing.mesh = self.mesh
         self.slots = SlotDesk(self.placing, platform.engines, domain, timeline)
-        self._admission = Admission(self.view, platform.dialect, self._buckets, rng)
+        self._admission = Admission(
+            self.view, platform.dialect, self._buckets, timeline, rng
+        )
         self._plain = PlainFlow(self.placing, platform.dialect, self._retries, timeline)
         self._generation = GenerationFlow(
             self.placing,
@@ -137,6 +145,23 @@
             timeline,
             rng,
         )
+        self._phases = PhaseKeeper(
+            settings.peers,
+            Duty(
+                kinds.leases,
+                "phases",
+                f"{settings.instance}-{self.incarnation:x}",
+                settings.order_lease_ms / 1000,
+                platform.store,
+                timeline,
+            ),
+            self.view,
+            self.placing,
+            self.slots,
+            self.mesh,
+            platform.engines,
+            timeline,
+        )
         self._tasks: list[asyncio.Task[Any]] = []
         self._rules_by_workspace: dict[str, WorkspaceRules] = {}
 
@@ -153,6 +178,7 @@
         """Starts to follow the platform and peers."""
         runs = [follower.run() for follower in self._followers]
         runs += [self.mesh.run(), self.slots.run(), self._registration.run()]
+        runs += [self._phases.run()]
         runs += [self._expire()]
         self._tasks = [asyncio.ensure_future(run) for run in runs]
 
@@ -180,7 +206,7 @@
             return await self._serve(admitted)
         except RefusedError:
             if admitted.ran is Ran.NO:
-                self._admission.refund(admitted)
+                self._admission.refund(admitted, loop_time())
             raise
 
     async def _serve(self, request: RelayRequest) -> HttpResponse:
@@ -190,13 +216,14 @@
 
     def use(self) -> RelayUse:
         """Returns what this relay uses, for its peers."""
+        now = loop_time()
         return RelayUse(
             tuple(
                 WorkspaceUse(workspace, charged)
                 for workspace, charged in self._buckets.charged().items()
             ),
             tuple(
-                UpstreamUse(item.id, item.running, item.tokens)
+                UpstreamUse(item.id, item.running, item.memory(now))
                 for item in self.pool.by_id.values()
                 if item.running
             ),
--- a/wasabimux/relay/slots.py
+++ b/wasabimux/relay/slots.py
@@ -15,14 +15,15 @@
     order_waiting,
     roomiest,
 )
+from wasabimux.decisions.memory_forecast import FILL, StreamState, total
 from wasabimux.errors import ErrorCode
 from wasabimux.ids import FailureDomainId, UpstreamId
 from wasabimux.ports import UpstreamLost
 from wasabimux.relay.context import RelayRequest
 from wasabimux.relay.model import EngineProfile, Phase
-from wasabimux.relay.placing import Placing
+from wasabimux.relay.placing import NOTHING_ELSEWHERE, Elsewhere, Placing
 from wasabimux.relay.ports import EngineDialect
-from wasabimux.relay.upstreams import Upstream
+from wasabimux.relay.upstreams import RunningStream, Upstream
 from wasabimux.timeline import Timeline
 
 #: Time for which an engine that had no room is not asked again by this relay.
@@ -35,6 +36,23 @@
 FIRST_STREAM_S = 3.5
 STREAM_WEIGHT = 0.1
 
+#: Usual speed of a stream before any was measured, in tokens a second.
+FIRST_TOKENS_PER_S = 1_600.0
+
+#: Usual memory of a stream over its life, and time of a prefill, before any was
+#: measured.
+FIRST_MEMORY_TOKENS = 8_000.0
+FIRST_PREFILL_S = 0.1
+
+#: Time from the grant of a slot to the first token, about.
+START_S = 0.15
+
+#: Events for which memory is reserved beside the prompt.
+HELD_EVENTS = 4
+
+#: Part of the target for the first event after which a slot comes too late for it.
+ON_TIME_PART = 0.75
+
 #: Part of the caller's patience that may be spent waiting for a slot.
 WAIT_PART = 0.85
 
@@ -49,18 +67,29 @@
 
     Attributes:
         upstream: The engine.
+        stream: What is expected of the stream.
         hold: Name of the reservation there.
-        tokens: Memory reserved.
         taken_s: When it was reserved.
+        tokens_per_event: Tokens in one event.
+        first_event_s: When the stream's first event came.
+        events: Events of a stream that has ended in good order.
         used: True once a request was sent with the reservation.
     """
 
     upstream: Upstream
+    stream: RunningStream
     hold: str
-    tokens: int
     taken_s: float
+    tokens_per_event: int = 1
+    first_event_s: float | None = None
+    events: int = 0
     used: bool = False
 
+    def on_first_event(self, now: float) -> None:
+        """Notes that the stream makes tokens from now on."""
+        self.first_event_s = now
+        self.stream.began_s = now
+
 
 @dataclass(slots=True)
 class _Waiting:
@@ -96,6 +125,9 @@
         self._asking: dict[int, asyncio.Task[None]] = {}
         self._wake = asyncio.Event()
         self._mean_stream_s = FIRST_STREAM_S
+        self._tokens_per_s = FIRST_TOKENS_PER_S
+        self._mean_memory = FIRST_MEMORY_TOKENS
+        self.mean_prefill_s = FIRST_PREFILL_S
         self._dropping: set[asyncio.Task[None]] = set()
 
     @property
@@ -103,6 +135,16 @@
         """Streams that wait for a slot."""
         return len(self._waiting)
 
+    def stream_cost(self, profile: EngineProfile) -> tuple[float, float]:
+        """Returns the time of a prefill and of a decode engine that a stream takes."""
+        together = FILL * profile.memory_tokens / max(1.0, self._mean_memory)
+        together = min(together, float(profile.slots))
+        return self.mean_prefill_s, self._mean_stream_s / together
+
+    def on_prefill(self, took_s: float) -> None:
+        """Notes how long a prefill took that waited for no other."""
+        self.mean_prefill_s += STREAM_WEIGHT * (took_s - self.mean_prefill_s)
+
     def wake(self) -> None:
         """Looks at the queue again, as something may have changed."""
         self._wake.set()
@@ -122,8 +164,10 @@
         stream = WaitingStream(
             next(self._numbers),
             request.route.priority,
-            request.facts.prompt_tokens + request.facts.output_tokens,
-            request.arrived_s + request.route.target_s / 2,
+            request.beyond_share,
+            request.last_chance,
+            self._running(request, now).forecast(now),
+            request.arrived_s + ON_TIME_PART * request.route.target_s,
         )
         granted: asyncio.Future[Slot] = asyncio.get_running_loop().create_future()
         self._waiting[stream.number] = _Waiting(stream, request, granted, avoid)
@@ -134,25 +178,28 @@
         )
         try:
             async with asyncio.timeout_at(until_s):
-                return await granted
-        except TimeoutError:
-            raise self._no_slot(request, "no decode slot came free in time") from None
+                slot = await granted
+        except BaseException as error:
+            if granted.done() and not granted.cancelled():
+                self.release(granted.result(), loop_time())  # it came too late
+            if isinstance(error, TimeoutError):
+                text = "no decode slot came free in time"
+                raise self._no_slot(request, text) from None
+            raise
         finally:
             self._waiting.pop(stream.number, None)
-            if granted.cancelled() or not granted.done():
-                granted.cancel()
+            granted.cancel()
+        return slot
 
     def release(self, slot: Slot, now: float) -> None:
         """Notes that a slot is free; gives the reservation back if it is unused."""
-        slot.upstream.running -= 1
-        slot.upstream.tokens -= slot.tokens
+        self._forget(slot.upstream, slot.stream)
         if not slot.used:
             task = asyncio.ensure_future(self._drop(slot.upstream, slot.hold))
             self._dropping.add(task)
             task.add_done_callback(self._dropping.discard)
-        else:
-            length_s = now - slot.taken_s
-            self._mean_stream_s += STREAM_WEIGHT * (length_s - self._mean_stream_s)
+        elif slot.events and slot.first_event_s is not None:
+            self._learn(slot, now)
         self._wake.set()
 
     async def run(self) -> None:
@@ -179,9 +226,10 @@
             engine = self._engine_for(item, elsewhere, now)
             if engine is None:
                 continue
+            running = self._running(item.request, now)
             engine.running += 1
-            engine.tokens += stream.tokens
-            task = asyncio.ensure_future(self._ask(item, engine))
+            engine.streams.add(running)
+            task = asyncio.ensure_future(self._ask(item, engine, running))
             self._asking[stream.number] = task
             task.add_done_callback(partial(self._asked, stream.number))
 
@@ -192,7 +240,7 @@
     def _engine_for(
         self,
         item: _Waiting,
-        elsewhere: dict[UpstreamId, tuple[int, int]],
+        elsewhere: dict[UpstreamId, Elsewhere],
         now: float,
     ) -> Upstream | None:
         service = item.request.service
@@ -205,49 +253,54 @@
             if engine.full_until_s <= now
         }
         rooms = [
-            self._room(engine, service.engine, elsewhere) for engine in engines.values()
+            self._room(engine, service.engine, elsewhere, now)
+            for engine in engines.values()
         ]
-        room = roomiest(rooms, item.stream.tokens)
+        room = roomiest(rooms, item.stream.memory)
         return None if room is None else engines[room.upstream]
 
     def _room(
         self,
         engine: Upstream,
         profile: EngineProfile,
-        elsewhere: dict[UpstreamId, tuple[int, int]],
+        elsewhere: dict[UpstreamId, Elsewhere],
+        now: float,
     ) -> EngineRoom:
-        running, tokens = elsewhere.get(engine.id, (0, 0))
+        peers = elsewhere.get(engine.id, NOTHING_ELSEWHERE)
         return EngineRoom(
             engine.id,
-            profile.memory_tokens - engine.tokens - tokens,
-            profile.slots - engine.running - running,
+            profile.memory_tokens,
+            total([engine.memory(now), peers.memory]),
+            profile.slots - engine.running - peers.running,
             engine.record.failure_domain == self._failure_domain,
         )
 
-    async def _ask(self, item: _Waiting, engine: Upstream) -> None:
+    async def _ask(
+        self, item: _Waiting, engine: Upstream, stream: RunningStream
+    ) -> None:
         """Asks an engine for a reservation; the engine has the last word."""
         profile = item.request.service.engine
         assert profile is not None
         hold = None
+        tokens = stream.state.prompt_tokens + HELD_EVENTS * profile.tokens_per_event
         try:
-            call = self._engines.take_hold(item.stream.tokens, profile.hold_s)
+            call = self._engines.take_hold(tokens, profile.hold_s)
             status, body = await engine.call(call)
             hold = self._engines.read_hold(status, body)
         except UpstreamLost as error:
             engine.health.on_unreachable(loop_time())
             self._record(item, "hold_failed", engine, error=error)
         now = loop_time()
-        slot = Slot(engine, hold or "", item.stream.tokens, now)
+        slot = Slot(engine, stream, hold or "", now, profile.tokens_per_event)
         if hold is None:
-            engine.running -= 1
-            engine.tokens -= item.stream.tokens
+            self._forget(engine, stream)
             engine.full_until_s = now + FULL_S
         elif item.granted.done():
             self.release(slot, now)
         else:
             item.granted.set_result(slot)
             wait_ms = round((now - item.request.arrived_s) * 1000)
-            self._record(item, "slot_granted", engine, wait_ms=wait_ms)
+            self._record(item, "slot_granted", engine, tokens=tokens, wait_ms=wait_ms)
 
     async def _drop(self, engine: Upstream, hold: str) -> None:
         try:
@@ -255,25 +308,51 @@
         except UpstreamLost as error:
             self._timeline.record("hold_kept", upstream=engine.id, error=error)
 
+    def _running(self, request: RelayRequest, now: float) -> RunningStream:
+        """Returns what is expected of a stream that starts now."""
+        facts = request.facts
+        expected = facts.expected_tokens or facts.output_tokens / 2
+        state = StreamState(facts.prompt_tokens, 0, expected, facts.output_tokens)
+        return RunningStream(state, now + START_S, self._tokens_per_s)
+
+    def _forget(self, engine: Upstream, stream: RunningStream) -> None:
+        engine.running -= 1
+        engine.streams.discard(stream)
+
+    def _learn(self, slot: Slot, now: float) -> None:
+        """Learns how long streams last and how fast they are."""
+        assert slot.first_event_s is not None
+        length_s = now - slot.taken_s
+        made = slot.events * slot.tokens_per_event
+        memory = slot.stream.state.prompt_tokens + made / 2
+        self._mean_memory += STREAM_WEIGHT * (memory - self._mean_memory)
+        self._mean_stream_s += STREAM_WEIGHT * (length_s - self._mean_stream_s)
+        making_s = now - slot.first_event_s
+        if slot.events > 1 and making_s > 0:
+            rate = (slot.events - 1) * slot.tokens_per_event / making_s
+            self._tokens_per_s += STREAM_WEIGHT * (rate - self._tokens_per_s)
+
     def _refuse_if_hopeless(self, request: RelayRequest, now: float) -> None:
         """Refuses a stream for which no slot can come free in time."""
         assert request.service.engine is not None
         elsewhere = self._placing.running_elsewhere()
         rooms = [
-            self._room(engine, request.service.engine, elsewhere)
+            self._room(engine, request.service.engine, elsewhere, now)
             for engine in self._placing.engines(
                 request.service.name, Phase.DECODE, now, []
             )
         ]
-        tokens = request.facts.prompt_tokens + request.facts.output_tokens
+        tokens = max(self._running(request, now).forecast(now))
         free = sum(
-            min(room.free_slots, room.free_tokens // max(1, tokens))
+            min(room.free_slots, int(room.free_tokens / max(1.0, tokens)))
             for room in rooms
             if room.free_slots > 0 and room.free_tokens > 0
         )
         running = sum(
             request.service.engine.slots - max(0, room.free_slots) for room in rooms
         )
+        if request.last_chance:
+            return
         ahead = self.waiting + self._placing.waiting_elsewhere()
         wait_s = expected_wait_s(ahead, running, self._mean_stream_s, free)
         if wait_s > WAIT_PART * request.route.patience_s:
@@ -293,7 +372,6 @@
             item.request.facts.id,
             item.request.workspace or "",
             upstream=engine.id,
-            tokens=item.stream.tokens,
             waiting=self.waiting,
             **fields,
         )
--- a/wasabimux/relay/upstreams.py
+++ b/wasabimux/relay/upstreams.py
@@ -5,9 +5,17 @@
 import asyncio
 from collections import deque
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from wasabimux._clock import loop_time
 from wasabimux.adapters.http_client import ClientConnection, ClientResponse
+from wasabimux.decisions.memory_forecast import (
+    HORIZONS_S,
+    Forecast,
+    StreamState,
+    forecast,
+    total,
+)
 from wasabimux.decisions.upstream_health import UpstreamHealth
 from wasabimux.ids import UpstreamId
 from wasabimux.ports import Headers, UpstreamLost
@@ -29,6 +37,27 @@
 CALL_TIMEOUT_S = 1.0
 
 
+@dataclass(slots=True, eq=False)
+class RunningStream:
+    """A stream of this relay that has a slot.
+
+    Attributes:
+        state: Its length so far and expected.
+        began_s: When its first token is due or came.
+        tokens_per_s: Tokens that it makes in a second.
+    """
+
+    state: StreamState
+    began_s: float
+    tokens_per_s: float
+
+    def forecast(self, now: float) -> Forecast:
+        """Returns the memory that it takes now and later."""
+        made = max(0.0, now - self.began_s) * self.tokens_per_s
+        made = min(made, self.state.max_tokens)
+        return forecast(self.state._replace(made_tokens=int(made)), self.tokens_per_s)
+
+
 class Upstream:
     """One upstream as this relay sees it.
 
@@ -41,8 +70,8 @@
         self.record = record
         self.health = UpstreamHealth()
         self.running = 0
-        self.tokens = 0
         self.prefill_tokens = 0
+        self.streams: set[RunningStream] = set()
         self.leaving = False
         self.cold_until_s = now + record.cold_s
         self.full_until_s = 0.0
@@ -55,6 +84,12 @@
         """Identity of this life of the upstream."""
         return self.record.id
 
+    def memory(self, now: float) -> Forecast:
+        """Returns the memory that this relay's requests take now and later."""
+        if self.prefill_tokens:
+            return (float(self.prefill_tokens),) * len(HORIZONS_S)
+        return total([stream.forecast(now) for stream in self.streams])
+
     @property
     def phase(self) -> Phase | None:
         """What the engine does, None for a plain service."""
--- a/wasabimux/settings/process.py
+++ b/wasabimux/settings/process.py
@@ -121,6 +121,9 @@
         retry_ratio: Requests sent once more for each request of a caller.
         retry_extra: Requests sent once more beyond that, all relays together.
         retry_window_s: Window in which both are counted.
+        rate_window_s: Window in which the limits of workspaces are judged.
+        rate_overage: Part by which a workspace may exceed its limit in a window.
+        rate_slack: Tokens by which it may exceed its limit beyond that.
         order_lease_ms: Time for which a holder that gave orders keeps the duty.
     """
 
@@ -134,4 +137,7 @@
     retry_ratio: float = Field(default=0.2, ge=0)
     retry_extra: float = Field(default=10.0, ge=0)
     retry_window_s: float = Field(default=10.0, gt=0)
+    rate_window_s: float = Field(default=1.0, gt=0)
+    rate_overage: float = Field(default=0.0, ge=0)
+    rate_slack: float = Field(default=0.0, ge=0)
     order_lease_ms: float = Field(default=3_000.0, gt=0)
