Forecast memory from the events that came; tell use as it changes

Cause: made tokens were worked out from time, so a slow stream past its longest length counted nothing while it held 10,000 tokens. Ruled out: the engines' own reports, which agree stream by stream but for their age of 0.9 s.

--- a/wasabimux/decisions/decode_queue.py
+++ b/wasabimux/decisions/decode_queue.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -75,14 +76,21 @@
     )
 
 
-def roomiest(rooms: Sequence[EngineRoom], memory: Forecast) -> EngineRoom | None:
-    """Returns the engine with the most free memory that can take a stream."""
+def roomier_of_two(
+    rooms: Sequence[EngineRoom], memory: Forecast, rng: random.Random
+) -> EngineRoom | None:
+    """Returns the engine with more free memory of two drawn among those with room.
+
+    Relays hear of one another's streams a little late; if all took the engine with
+    the most room, they would fill it together.
+    """
     fitting = [
         room
         for room in rooms
         if room.free_slots > 0 and fits(room.memory_tokens, room.used, memory)
     ]
-    return max(fitting, key=lambda room: (room.free_tokens, room.near), default=None)
+    drawn = rng.sample(fitting, min(2, len(fitting)))
+    return max(drawn, key=lambda room: (room.free_tokens, room.near), default=None)
 
 
 def expected_wait_s(
--- a/wasabimux/decisions/memory_forecast.py
+++ b/wasabimux/decisions/memory_forecast.py
@@ -22,9 +22,12 @@
 #: Spread of lengths about the caller's estimate, as the deviation of the logarithm.
 LENGTH_SPREAD = 0.5
 
-#: Lengths are expected to be at least this part of the tokens made so far.
+#: No stream is expected to be shorter than this.
 MIN_LENGTH_TOKENS = 16.0
 
+#: Part of streams of a length below which the estimate says nothing any more.
+MIN_SURVIVAL = 0.01
+
 Forecast = tuple[float, ...]
 
 NOTHING: Forecast = (0.0,) * len(HORIZONS_S)
@@ -54,10 +57,10 @@
         tokens_per_s: Tokens that it makes in a second.
     """
     alive_now = _survival(stream, stream.made_tokens)
-    use = []
-    for horizon_s in HORIZONS_S:
+    use = [float(stream.prompt_tokens + stream.made_tokens)]
+    for horizon_s in HORIZONS_S[1:]:
         made = stream.made_tokens + tokens_per_s * horizon_s
-        alive = _survival(stream, made) / max(1e-6, alive_now)
+        alive = _survival(stream, made) / max(MIN_SURVIVAL, alive_now)
         use.append(min(1.0, alive) * (stream.prompt_tokens + made))
     return tuple(use)
 
--- a/wasabimux/decisions/shared_bucket.py
+++ b/wasabimux/decisions/shared_bucket.py
@@ -16,13 +16,13 @@
 
 #: Part of what a window may hold that is used. The rest covers what relays charge
 #: before they hear of one another, and what was charged before a restart.
-TOLERANCE_PART = 0.8
+TOLERANCE_PART = 0.88
 
 #: Precision of a window's sum.
 BIN_S = 0.2
 
-#: Time by which a request may reach its upstream later than it was charged.
-SEND_DELAY_S = 1.5
+#: Time by which a request may be charged later than its caller sent it.
+SEND_DELAY_S = 0.3
 
 #: Part of the burst with which a replica starts that knows nothing of the past.
 FRESH_SHARE = 0.5
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -149,8 +149,6 @@
             return None
         started_s = loop_time()
         tokens = request.facts.prompt_tokens
-        elsewhere = self._placing.running_elsewhere().get(engine.id)
-        alone = engine.running == 0 and (elsewhere is None or not elsewhere.running)
         engine.running += 1
         engine.prefill_tokens += tokens
         try:
@@ -172,8 +170,8 @@
             self._record(request, "prefill_refused", engine, status=response.status)
             return None
         engine.health.on_answer(took_ms / 1000, loop_time())
-        if alone:
-            self._slots.on_prefill(took_ms / 1000)
+        if engine.prefill_tokens == 0:
+            self._slots.on_prefill(tokens, took_ms / 1000)
         self._record(request, "prefilled", engine, took_ms=took_ms)
         assert request.service.engine is not None
         source = f"{engine.record.address}/{handle}"
@@ -301,11 +299,12 @@
                         if event.id is not None:
                             last_id = event.id
                         events += 1
+                        stream.slot.on_events(events)
                         yield event.data
                     stream.ready = []
                     if stream.ended:
                         owner.complete = True
-                        stream.slot.events = events
+                        stream.slot.ended = True
                         self._record(
                             request, "answered", stream.slot.upstream, events=events
                         )
--- a/wasabimux/relay/mesh.py
+++ b/wasabimux/relay/mesh.py
@@ -32,8 +32,10 @@
 #: Most peers that a relay links to.
 MAX_PEERS = 32
 
-#: Time between messages on use, and between attempts to reach peers.
+#: Longest time between messages on use, time for which changes are gathered, and
+#: time between attempts to reach peers.
 USE_S = 0.15
+GATHER_S = 0.03
 CONNECT_S = 0.5
 
 #: Time for which a peer may lag before objects are passed on to it. Most often it
@@ -98,6 +100,7 @@
         self._on_lost = on_lost
         self._timeline = timeline
         self._address_by_link: dict[Link, str] = {}
+        self._changed = asyncio.Event()
         self._connecting: set[asyncio.Task[None]] = set()
 
     def add(self, address: str) -> None:
@@ -141,7 +144,21 @@
                 self._connect_missing()
                 self._forget_gone(now)
             self._send_use(now)
-            await asyncio.sleep(USE_S)
+            await self._wait_for_use()
+
+    def note_use(self) -> None:
+        """Tells peers soon, as the use has changed."""
+        self._changed.set()
+
+    async def _wait_for_use(self) -> None:
+        """Waits until the use has changed, but not for long; then gathers changes."""
+        try:
+            async with asyncio.timeout(USE_S):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+        await asyncio.sleep(GATHER_S)
+        self._changed.clear()
 
     async def leave(self) -> None:
         """Tells peers that this relay ends."""
--- a/wasabimux/relay/process.py
+++ b/wasabimux/relay/process.py
@@ -13,7 +13,6 @@
 
 from aioprometheus.collectors import Registry
 
-from wasabimux._clock import loop_time
 from wasabimux.adapters.admin import AdminHandler
 from wasabimux.adapters.http_server import (
     HttpRequest,
@@ -156,7 +155,7 @@
                 "service": item.record.service,
                 "phase": item.phase.value if item.phase else None,
                 "running": item.running,
-                "memory": [round(number) for number in item.memory(loop_time())],
+                "memory": [round(number) for number in item.memory()],
                 "draining": item.record.draining,
             }
             for item in relay.pool.by_id.values()
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -117,7 +117,14 @@
         )
         self.placing = Placing(self.view, self.pool, domain, rng)
         self.placing.mesh = self.mesh
-        self.slots = SlotDesk(self.placing, platform.engines, domain, timeline)
+        self.slots = SlotDesk(
+            self.placing,
+            platform.engines,
+            domain,
+            timeline,
+            rng,
+            self.mesh.note_use,
+        )
         self._admission = Admission(
             self.view, platform.dialect, self._buckets, timeline, rng
         )
@@ -216,14 +223,13 @@
 
     def use(self) -> RelayUse:
         """Returns what this relay uses, for its peers."""
-        now = loop_time()
         return RelayUse(
             tuple(
                 WorkspaceUse(workspace, charged)
                 for workspace, charged in self._buckets.charged().items()
             ),
             tuple(
-                UpstreamUse(item.id, item.running, item.memory(now))
+                UpstreamUse(item.id, item.running, item.memory())
                 for item in self.pool.by_id.values()
                 if item.running
             ),
--- a/wasabimux/relay/slots.py
+++ b/wasabimux/relay/slots.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import itertools
+import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -13,7 +15,7 @@
     WaitingStream,
     expected_wait_s,
     order_waiting,
-    roomiest,
+    roomier_of_two,
 )
 from wasabimux.decisions.memory_forecast import FILL, StreamState, total
 from wasabimux.errors import ErrorCode
@@ -39,13 +41,14 @@
 #: Usual speed of a stream before any was measured, in tokens a second.
 FIRST_TOKENS_PER_S = 1_600.0
 
-#: Usual memory of a stream over its life, and time of a prefill, before any was
-#: measured.
+#: Usual memory of a stream over its life, its prompt, and the speed of a prefill
+#: engine, before any was measured.
 FIRST_MEMORY_TOKENS = 8_000.0
-FIRST_PREFILL_S = 0.1
+FIRST_PROMPT_TOKENS = 5_000.0
+FIRST_PREFILL_TOKENS_PER_S = 50_000.0
 
-#: Time from the grant of a slot to the first token, about.
-START_S = 0.15
+#: Part of the fastest prefill's speed that is kept at each further one.
+SPEED_MEMORY = 0.998
 
 #: Events for which memory is reserved beside the prompt.
 HELD_EVENTS = 4
@@ -72,7 +75,8 @@
         taken_s: When it was reserved.
         tokens_per_event: Tokens in one event.
         first_event_s: When the stream's first event came.
-        events: Events of a stream that has ended in good order.
+        events: Events that have come.
+        ended: True once the stream has ended in good order.
         used: True once a request was sent with the reservation.
     """
 
@@ -83,12 +87,17 @@
     tokens_per_event: int = 1
     first_event_s: float | None = None
     events: int = 0
+    ended: bool = False
     used: bool = False
 
     def on_first_event(self, now: float) -> None:
         """Notes that the stream makes tokens from now on."""
         self.first_event_s = now
-        self.stream.began_s = now
+
+    def on_events(self, events: int) -> None:
+        """Notes the events that have come so far."""
+        self.events = events
+        self.stream.on_made(events * self.tokens_per_event)
 
 
 @dataclass(slots=True)
@@ -107,6 +116,8 @@
         engines: Calls of engines.
         failure_domain: Where the relay runs.
         timeline: Records decisions.
+        rng: Source of random choices.
+        on_use: Called when a slot is taken or freed.
     """
 
     def __init__(
@@ -115,9 +126,13 @@
         engines: EngineDialect,
         failure_domain: FailureDomainId,
         timeline: Timeline,
+        rng: random.Random,
+        on_use: Callable[[], None],
     ) -> None:
         self._placing = placing
         self._engines = engines
+        self._rng = rng
+        self._on_use = on_use
         self._failure_domain = failure_domain
         self._timeline = timeline
         self._numbers = itertools.count(1)
@@ -127,7 +142,8 @@
         self._mean_stream_s = FIRST_STREAM_S
         self._tokens_per_s = FIRST_TOKENS_PER_S
         self._mean_memory = FIRST_MEMORY_TOKENS
-        self.mean_prefill_s = FIRST_PREFILL_S
+        self._mean_prompt = FIRST_PROMPT_TOKENS
+        self._prefill_speed = FIRST_PREFILL_TOKENS_PER_S
         self._dropping: set[asyncio.Task[None]] = set()
 
     @property
@@ -139,11 +155,14 @@
         """Returns the time of a prefill and of a decode engine that a stream takes."""
         together = FILL * profile.memory_tokens / max(1.0, self._mean_memory)
         together = min(together, float(profile.slots))
-        return self.mean_prefill_s, self._mean_stream_s / together
+        prefill_s = self._mean_prompt / self._prefill_speed
+        return prefill_s, self._mean_stream_s / together
 
-    def on_prefill(self, took_s: float) -> None:
-        """Notes how long a prefill took that waited for no other."""
-        self.mean_prefill_s += STREAM_WEIGHT * (took_s - self.mean_prefill_s)
+    def on_prefill(self, tokens: int, took_s: float) -> None:
+        """Notes a prefill; the fastest of late tells what one takes by itself."""
+        speed = tokens / max(1e-3, took_s)
+        self._prefill_speed = max(speed, self._prefill_speed * SPEED_MEMORY)
+        self._mean_prompt += STREAM_WEIGHT * (tokens - self._mean_prompt)
 
     def wake(self) -> None:
         """Looks at the queue again, as something may have changed."""
@@ -166,7 +185,7 @@
             request.route.priority,
             request.beyond_share,
             request.last_chance,
-            self._running(request, now).forecast(now),
+            self._running(request).forecast(),
             request.arrived_s + ON_TIME_PART * request.route.target_s,
         )
         granted: asyncio.Future[Slot] = asyncio.get_running_loop().create_future()
@@ -194,11 +213,12 @@
     def release(self, slot: Slot, now: float) -> None:
         """Notes that a slot is free; gives the reservation back if it is unused."""
         self._forget(slot.upstream, slot.stream)
+        self._on_use()
         if not slot.used:
             task = asyncio.ensure_future(self._drop(slot.upstream, slot.hold))
             self._dropping.add(task)
             task.add_done_callback(self._dropping.discard)
-        elif slot.events and slot.first_event_s is not None:
+        elif slot.ended and slot.first_event_s is not None:
             self._learn(slot, now)
         self._wake.set()
 
@@ -226,9 +246,10 @@
             engine = self._engine_for(item, elsewhere, now)
             if engine is None:
                 continue
-            running = self._running(item.request, now)
+            running = self._running(item.request)
             engine.running += 1
             engine.streams.add(running)
+            self._on_use()
             task = asyncio.ensure_future(self._ask(item, engine, running))
             self._asking[stream.number] = task
             task.add_done_callback(partial(self._asked, stream.number))
@@ -253,10 +274,9 @@
             if engine.full_until_s <= now
         }
         rooms = [
-            self._room(engine, service.engine, elsewhere, now)
-            for engine in engines.values()
+            self._room(engine, service.engine, elsewhere) for engine in engines.values()
         ]
-        room = roomiest(rooms, item.stream.memory)
+        room = roomier_of_two(rooms, item.stream.memory, self._rng)
         return None if room is None else engines[room.upstream]
 
     def _room(
@@ -264,13 +284,12 @@
         engine: Upstream,
         profile: EngineProfile,
         elsewhere: dict[UpstreamId, Elsewhere],
-        now: float,
     ) -> EngineRoom:
         peers = elsewhere.get(engine.id, NOTHING_ELSEWHERE)
         return EngineRoom(
             engine.id,
             profile.memory_tokens,
-            total([engine.memory(now), peers.memory]),
+            total([engine.memory(), peers.memory]),
             profile.slots - engine.running - peers.running,
             engine.record.failure_domain == self._failure_domain,
         )
@@ -308,12 +327,12 @@
         except UpstreamLost as error:
             self._timeline.record("hold_kept", upstream=engine.id, error=error)
 
-    def _running(self, request: RelayRequest, now: float) -> RunningStream:
+    def _running(self, request: RelayRequest) -> RunningStream:
         """Returns what is expected of a stream that starts now."""
         facts = request.facts
         expected = facts.expected_tokens or facts.output_tokens / 2
         state = StreamState(facts.prompt_tokens, 0, expected, facts.output_tokens)
-        return RunningStream(state, now + START_S, self._tokens_per_s)
+        return RunningStream(state, self._tokens_per_s)
 
     def _forget(self, engine: Upstream, stream: RunningStream) -> None:
         engine.running -= 1
@@ -337,12 +356,12 @@
         assert request.service.engine is not None
         elsewhere = self._placing.running_elsewhere()
         rooms = [
-            self._room(engine, request.service.engine, elsewhere, now)
+            self._room(engine, request.service.engine, elsewhere)
             for engine in self._placing.engines(
                 request.service.name, Phase.DECODE, now, []
             )
         ]
-        tokens = max(self._running(request, now).forecast(now))
+        tokens = max(self._running(request).forecast())
         free = sum(
             min(room.free_slots, int(room.free_tokens / max(1.0, tokens)))
             for room in rooms
--- a/wasabimux/relay/upstreams.py
+++ b/wasabimux/relay/upstreams.py
@@ -43,19 +43,19 @@
 
     Attributes:
         state: Its length so far and expected.
-        began_s: When its first token is due or came.
         tokens_per_s: Tokens that it makes in a second.
     """
 
     state: StreamState
-    began_s: float
     tokens_per_s: float
 
-    def forecast(self, now: float) -> Forecast:
+    def on_made(self, tokens: int) -> None:
+        """Notes the tokens that it has made so far."""
+        self.state = self.state._replace(made_tokens=tokens)
+
+    def forecast(self) -> Forecast:
         """Returns the memory that it takes now and later."""
-        made = max(0.0, now - self.began_s) * self.tokens_per_s
-        made = min(made, self.state.max_tokens)
-        return forecast(self.state._replace(made_tokens=int(made)), self.tokens_per_s)
+        return forecast(self.state, self.tokens_per_s)
 
 
 class Upstream:
@@ -84,11 +84,11 @@
         """Identity of this life of the upstream."""
         return self.record.id
 
-    def memory(self, now: float) -> Forecast:
+    def memory(self) -> Forecast:
         """Returns the memory that this relay's requests take now and later."""
         if self.prefill_tokens:
             return (float(self.prefill_tokens),) * len(HORIZONS_S)
-        return total([stream.forecast(now) for stream in self.streams])
+        return total([stream.forecast() for stream in self.streams])
 
     @property
     def phase(self) -> Phase | None:
