--- a/wasabimux/decisions/shared_bucket.py
+++ b/wasabimux/decisions/shared_bucket.py
@@ -14,13 +14,16 @@
 
 from wasabimux.decisions.rate import RateRules
 
-#: Part of what a window may hold that is used. The rest covers what relays charge
-#: before they hear of one another, and what was charged before a restart.
-TOLERANCE_PART = 0.88
+#: Part of the tolerance that is used. The rest covers what relays charge before they
+#: hear of one another, and what was charged before a restart.
+TOLERANCE_PART = 0.65
 
 #: Precision of a window's sum.
 BIN_S = 0.2
 
+#: Least wait that a refused caller is told.
+MIN_WAIT_S = 0.1
+
 #: Time by which a request may be charged later than its caller sent it.
 SEND_DELAY_S = 0.3
 
@@ -44,7 +47,7 @@
     def allowed(self, rules: RateRules) -> float:
         """Returns the most tokens that may be charged in one window."""
         within = rules.rate * self.window_s + rules.burst
-        return TOLERANCE_PART * (within * (1 + self.share) + self.tokens)
+        return within + TOLERANCE_PART * (within * self.share + self.tokens)
 
 
 class Charge(NamedTuple):
@@ -116,7 +119,10 @@
     def charge(
         self, workspace: str, rules: RateRules, tokens: float, now: float
     ) -> Charge:
-        """Charges a request if the share or the tolerance allows it.
+        """Charges a request if its window has room.
+
+        The bucket tells whether the workspace is within its share; relays that cannot
+        hear one another would each grant a burst, so the window has the last word.
 
         Args:
             workspace: Workspace to charge.
@@ -127,15 +133,16 @@
         replica = self._replica(workspace, rules, now)
         self._refill(replica, now)
         missing = min(tokens, rules.burst) - replica.level
-        if missing > 0 and not self._tolerates(replica, tokens, now):
-            return Charge(missing / max(1e-9, self._rate(replica)))
+        if not self._has_room(replica, tokens, now):
+            wait_s = max(MIN_WAIT_S, missing / max(1e-9, self._rate(replica)))
+            return Charge(wait_s)
         replica.level = max(-rules.burst, replica.level - tokens)
         replica.charged += tokens
         replica.window.add(tokens, now)
         return Charge(beyond_share=missing > 0)
 
-    def _tolerates(self, replica: _Replica, tokens: float, now: float) -> bool:
-        """Tells whether the window has room beyond the share."""
+    def _has_room(self, replica: _Replica, tokens: float, now: float) -> bool:
+        """Tells whether the window has room, less the part of silent peers."""
         allowed = self._tolerance.allowed(replica.rules) * (1.0 - self._silent_share)
         window_s = self._tolerance.window_s + SEND_DELAY_S
         return replica.window.sum(window_s, now) + tokens <= allowed
--- a/wasabimux/relay/follower.py
+++ b/wasabimux/relay/follower.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from wasabimux._clock import loop_time
 from wasabimux.ports import StoreUnavailable
@@ -11,9 +12,14 @@
 from wasabimux.relay.view import FleetView
 from wasabimux.timeline import Timeline
 
-#: Length of a watch. It bounds for how long a store that has gone silent on an open
-#: connection stays unnoticed.
-WATCH_S = 6.0
+#: Lengths of a watch. A watch may be cut off without a word, so its length bounds for
+#: how long a change stays unnoticed; relays take turns, as each tells its peers.
+WATCH_S_A_RELAY = 0.45
+MIN_WATCH_S = 1.0
+MAX_WATCH_S = 2.4
+
+#: Least part of a watch's length that is drawn, so that relays fall out of step.
+MIN_DRAWN = 0.4
 
 #: Waits between calls while the store does not answer, with jitter below.
 FIRST_RETRY_S = 0.1
@@ -32,6 +38,7 @@
         view: Takes what is found.
         timeline: Records losses and returns of the store.
         rng: Source of jitter.
+        members: Returns the number of relays that hear one another.
     """
 
     def __init__(
@@ -41,7 +48,9 @@
         view: FleetView,
         timeline: Timeline,
         rng: random.Random,
+        members: Callable[[], int],
     ) -> None:
+        self._members = members
         self._kind = kind
         self._store = store
         self._view = view
@@ -83,13 +92,20 @@
                 self._kind, listed.objects, listed.revision, loop_time(), after_outage
             )
             return listed.revision
-        found = await self._store.watch(self._kind, revision, WATCH_S)
+        found = await self._store.watch(self._kind, revision, self._watch_s())
         after_outage = self._on_answer()
         self._view.apply_changes(
             self._kind, found.changes, found.revision, loop_time(), after_outage
         )
         return found.revision
 
+    def _watch_s(self) -> float:
+        """Returns the length of the next watch."""
+        longest_s = min(
+            MAX_WATCH_S, max(MIN_WATCH_S, WATCH_S_A_RELAY * self._members())
+        )
+        return self._rng.uniform(MIN_DRAWN, 1.0) * longest_s
+
     def _on_answer(self) -> bool:
         """Notes an answer; returns True soon after the store was away."""
         now = loop_time()
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -139,7 +139,7 @@
         )
         kinds = platform.documents.kinds
         self._followers = [
-            Follower(kind, platform.store, self.view, timeline, rng)
+            Follower(kind, platform.store, self.view, timeline, rng, self._in_touch)
             for kind in (kinds.desired_state, kinds.upstreams, kinds.evacuations)
         ]
         self._registration = Registration(
@@ -237,6 +237,10 @@
             self.slots.waiting,
         )
 
+    def _in_touch(self) -> int:
+        """Returns the number of relays that hear one another, this one included."""
+        return self.mesh.members() - self.mesh.silent(loop_time())
+
     def _on_change(self, now: float) -> None:
         """Takes a change of belief into use."""
         self.pool.apply(self.view.upstream_by_id.values(), now)
