--- a/wasabimux/link/_relay_codec.py
+++ b/wasabimux/link/_relay_codec.py
@@ -33,7 +33,8 @@
         target.workspace = workspace
         target.charged = charged
     upstreams = use.init("upstreams", len(message.upstreams))
-    for target, (upstream, running, tokens) in zip(upstreams, message.upstreams):
+    for target, part in zip(upstreams, message.upstreams):
+        upstream, running, tokens, target.changing = part
         target.upstream = upstream
         target.running = min(running, RUNNING_MAX)
         target.tokens = [max(0, int(number)) for number in tokens]
@@ -63,7 +64,7 @@
     return RelayUse(
         tuple(WorkspaceUse(part.workspace, part.charged) for part in use.workspaces),
         tuple(
-            UpstreamUse(part.upstream, part.running, tuple(part.tokens))
+            UpstreamUse(part.upstream, part.running, tuple(part.tokens), part.changing)
             for part in use.upstreams
         ),
         tuple(KindRevision(part.kind, part.revision) for part in use.revisions),
--- a/wasabimux/link/messages.py
+++ b/wasabimux/link/messages.py
@@ -236,11 +236,13 @@
         upstream: Its identity.
         running: Requests there.
         tokens: Memory that they take now and at later points in time.
+        changing: True if the sender has ordered it to change its phase.
     """
 
     upstream: str
     running: int
     tokens: tuple[float, ...]
+    changing: bool = False
 
 
 class KindRevision(NamedTuple):
--- a/wasabimux/link/wire.capnp
+++ b/wasabimux/link/wire.capnp
@@ -162,6 +162,7 @@
   upstream @0 :Text;
   running @1 :UInt16;     # requests that the sender has there
   tokens @2 :List(UInt32); # of memory that they take now and in the next seconds
+  changing @3 :Bool;      # the sender has ordered it to change its phase
 }
 
 struct KindRevision {
--- a/wasabimux/relay/phases.py
+++ b/wasabimux/relay/phases.py
@@ -35,6 +35,9 @@
 #: change itself.
 SETTLE_S = 2.0
 
+#: Statuses of an order that is carried out, or holds already.
+ORDER_TAKEN = frozenset({200, 202})
+
 #: Time after which a lost order counts as not carried out.
 LOST_ORDER_S = 13.0
 
@@ -147,8 +150,12 @@
             report.orders,
         )
         quiet_s = service.engine.switch_s + SETTLE_S
+        engine.changing_until_s = loop_time() + quiet_s
+        self._mesh.note_use()
         try:
             status, _ = await engine.call(self._engines.order(order))
+            if status not in ORDER_TAKEN:
+                engine.changing_until_s = 0.0
         except UpstreamLost as error:
             quiet_s = LOST_ORDER_S  # it may be carried out later
             self._record_order(order, 0, error)
--- a/wasabimux/relay/placing.py
+++ b/wasabimux/relay/placing.py
@@ -19,10 +19,17 @@
 
 
 class Elsewhere(NamedTuple):
-    """Requests that peers have at an upstream, and the memory they take."""
+    """What peers have at an upstream.
+
+    Attributes:
+        running: Their requests there.
+        memory: Memory that these take.
+        changing: True if one of them has ordered it to change its phase.
+    """
 
     running: int
     memory: Forecast
+    changing: bool = False
 
 
 NOTHING_ELSEWHERE = Elsewhere(0, NOTHING)
@@ -108,18 +115,31 @@
     def engines(
         self, service: str, phase: Phase, now: float, avoid: list[UpstreamId]
     ) -> list[Upstream]:
-        """Returns the engines of a phase that may take a request."""
-        return self.usable(service, now, avoid, lambda item: item.phase is phase)
+        """Returns the engines of a phase that may take a request.
+
+        One that was ordered to change runs nothing new, whatever it reserves.
+        """
+        elsewhere = self.running_elsewhere()
+
+        def suits(item: Upstream) -> bool:
+            peers = elsewhere.get(item.id, NOTHING_ELSEWHERE)
+            changing = item.changing_until_s > now or peers.changing
+            return item.phase is phase and not changing
+
+        return self.usable(service, now, avoid, suits)
 
     def running_elsewhere(self) -> dict[UpstreamId, Elsewhere]:
         """Returns what peers run at upstreams, as they last said."""
         sums: dict[UpstreamId, Elsewhere] = {}
         for peer in self.mesh.peers_by_address.values() if self.mesh else ():
-            for upstream, running, memory in peer.use.upstreams if peer.use else ():
-                before = sums.get(UpstreamId(upstream), NOTHING_ELSEWHERE)
-                added = memory if len(memory) == len(NOTHING) else NOTHING
-                sums[UpstreamId(upstream)] = Elsewhere(
-                    before.running + running, total([before.memory, added])
+            for part in peer.use.upstreams if peer.use else ():
+                upstream = UpstreamId(part.upstream)
+                before = sums.get(upstream, NOTHING_ELSEWHERE)
+                added = part.tokens if len(part.tokens) == len(NOTHING) else NOTHING
+                sums[upstream] = Elsewhere(
+                    before.running + part.running,
+                    total([before.memory, added]),
+                    before.changing or part.changing,
                 )
         return sums
 
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -223,15 +223,21 @@
 
     def use(self) -> RelayUse:
         """Returns what this relay uses, for its peers."""
+        now = loop_time()
         return RelayUse(
             tuple(
                 WorkspaceUse(workspace, charged)
                 for workspace, charged in self._buckets.charged().items()
             ),
             tuple(
-                UpstreamUse(item.id, item.running, item.memory())
+                UpstreamUse(
+                    item.id,
+                    item.running,
+                    item.memory(),
+                    item.changing_until_s > now,
+                )
                 for item in self.pool.by_id.values()
-                if item.running
+                if item.running or item.changing_until_s > now
             ),
             (),
             self.slots.waiting,
--- a/wasabimux/relay/upstreams.py
+++ b/wasabimux/relay/upstreams.py
@@ -75,6 +75,7 @@
         self.leaving = False
         self.cold_until_s = now + record.cold_s
         self.full_until_s = 0.0
+        self.changing_until_s = 0.0
         self._cold_sends: deque[float] = deque()
         self._idle: deque[tuple[float, ClientConnection]] = deque()
         self._host, self._port = parse_address(record.address)
@@ -99,6 +100,8 @@
         """Takes a newer entry."""
         if record.cold_s > 0 and record.cold_s != self.record.cold_s:
             self.cold_until_s = now + record.cold_s
+        if record.phase is not self.record.phase:
+            self.changing_until_s = 0.0
         if record.address != self.record.address:
             self.close()
             self._host, self._port = parse_address(record.address)
