--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -375,3 +375,31 @@
             await asyncio.sleep(0.01)
         assert not await connection.take_from_idle()
         connection.close()
+
+
+async def test_a_stream_that_breaks_late_still_goes_on(world: RelayWorld) -> None:
+    """Failed first: the wait for a slot counted from the stream's arrival."""
+    for name in ("dec-1", "dec-2", "dec-3"):
+        world.runners[name].events = 400  # 4 s, longer than callers wait for a slot
+    answer = await world.request("/gen/1", wasabimux_token_count=TOKENS)
+    pieces = answer.pieces()
+    received = b""
+    while b"id: 300\n" not in received:
+        received += await anext(pieces)
+    for name in ("dec-1", "dec-2", "dec-3"):
+        runner = world.runners[name]
+        if runner.runs:
+            runner.break_off()
+    received += b"".join([piece async for piece in pieces])
+    assert received == whole_stream(400)
+    answer.close()
+
+
+async def test_a_silent_engine_is_left_for_another(world: RelayWorld) -> None:
+    """Failed first: the caller left before anyone noticed the silence."""
+    world.runners["dec-1"].troubles.delay_s = 60.0
+    while not world.runners["dec-1"].runs:
+        async with await world.request(
+            "/gen/1", wasabimux_token_count=TOKENS
+        ) as answer:
+            assert await answer.body() == whole_stream()
--- a/wasabimux/platform/standins/runner.py
+++ b/wasabimux/platform/standins/runner.py
@@ -99,6 +99,7 @@
         self.address = ""
         self.troubles = RunnerTroubles()
         self.state = _State()
+        self._broken_off: list[RunRecord] = []
         self._numbers = itertools.count(1)
         self._server = HttpServer(self._handle)
 
@@ -131,6 +132,10 @@
             entry["phase"] = self.phase
         return entry | fields
 
+    def break_off(self) -> None:
+        """Cuts the streams that run now, each within an event."""
+        self._broken_off = self.state.runs[:]
+
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         body = await request.body()
         if request.path.startswith("/v1/"):
@@ -200,7 +205,8 @@
     ) -> AsyncGenerator[bytes, None]:
         cut_after = self.troubles.cut_after
         for number in range(after + 1, self.events + 1):
-            if cut_after is not None and number - after > cut_after:
+            cut = cut_after is not None and number - after > cut_after
+            if cut or record in self._broken_off:
                 yield b"id: 99\ndata: torn"
                 raise refused(ErrorCode.CANCELLED, "the runner breaks off")
             yield f"id: {number}\ndata: token-{number}\n\n".encode()
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator, Coroutine
 from dataclasses import dataclass, field
+from typing import Any, TypeVar
 
 from wasabimux._clock import loop_time
 from wasabimux.adapters.http_client import ClientResponse
@@ -24,8 +25,16 @@
 STATUS_OK = 200
 STATUS_MISDIRECTED = 421
 
-#: Longest wait for a prefill, as a multiple of what it takes on an idle engine.
-PREFILL_TIMEOUT_S = 1.0
+#: Longest wait for a prefill: what it should take times a factor, and a bit more.
+PREFILL_FACTOR = 2.5
+PREFILL_SLACK_S = 0.2
+
+#: Prefill engines that one attempt may ask.
+PREFILL_TRIES = 2
+
+#: Time without a byte of a stream after which it goes on elsewhere, if it may. The
+#: caller leaves after a few times as long; an engine makes some 20 events meanwhile.
+STALL_S = 1.0
 
 #: Tokens ahead at a prefill engine beyond which the decode engine reads by itself.
 MAX_PREFILL_AHEAD_TOKENS = 40_000
@@ -37,6 +46,9 @@
 RETRY_AFTER_S = 0.5
 
 
+StepResult = TypeVar("StepResult")
+
+
 @dataclass(slots=True)
 class _Stream:
     """A stream that an engine has begun to send.
@@ -131,34 +143,51 @@
         try:
             source = request.kv_source(loop_time())
             if source is None:
-                source = await self._prefill(request, slot.upstream)
+                source = await self._prefilled(request, slot.upstream)
             return await self._decode(request, slot, source, after)
         except BaseException:
             self._slots.release(slot, loop_time())
             raise
 
-    async def _prefill(self, request: RelayRequest, decode: Upstream) -> str | None:
+    async def _prefilled(self, request: RelayRequest, decode: Upstream) -> str | None:
         """Has the prompt read; returns where its KV cache is.
 
         Returns:
             `IP:PORT/HANDLE`, or None if the decode engine reads it by itself.
         """
-        engine = self._choose_prefill(request)
-        if engine is None:
-            self._record(request, "prefill_skipped", decode)
-            return None
+        for number in range(PREFILL_TRIES):
+            engine = self._choose_prefill(request)
+            again = number > 0
+            if engine is None or (again and not self._retries.try_spend(loop_time())):
+                break
+            source = await self._prefill(request, engine)
+            if source is not None:
+                return source
+        self._record(request, "prefill_skipped", decode)
+        return None
+
+    async def _prefill(self, request: RelayRequest, engine: Upstream) -> str | None:
+        """Asks one engine to read the prompt."""
         started_s = loop_time()
         tokens = request.facts.prompt_tokens
         engine.running += 1
         engine.prefill_tokens += tokens
+        limit_s = self._prefill_limit_s(engine)
         try:
-            async with asyncio.timeout(PREFILL_TIMEOUT_S):
+            async with asyncio.timeout(limit_s):
                 response = await self._send(request, engine, prefill_only=True)
                 async with response:
                     body = await response.body()
         except (UpstreamLost, TimeoutError) as error:
-            engine.health.on_failure(loop_time())
-            self._record(request, "prefill_lost", engine, error=error or "timeout")
+            engine.health.rest(loop_time())
+            took_ms = round((loop_time() - started_s) * 1000)
+            self._record(
+                request,
+                "prefill_lost",
+                engine,
+                error=error or "silent",
+                took_ms=took_ms,
+            )
             return None
         finally:
             engine.running -= 1
@@ -179,6 +208,13 @@
         request.prefilled = Prefilled(source, kept_until_s)
         return source
 
+    def _prefill_limit_s(self, engine: Upstream) -> float:
+        """Returns how long a prefill may take before its engine counts as silent."""
+        elsewhere = self._placing.running_elsewhere()
+        peers = elsewhere.get(engine.id, NOTHING_ELSEWHERE)
+        ahead = engine.prefill_tokens + peers.memory[0]
+        return PREFILL_SLACK_S + PREFILL_FACTOR * self._slots.prefill_s(ahead)
+
     def _choose_prefill(self, request: RelayRequest) -> Upstream | None:
         now = loop_time()
         service = request.service
@@ -217,9 +253,10 @@
         prefilled, request.prefilled = request.prefilled, None
         before, request.ran = request.ran, Ran.UNKNOWN
         try:
-            response = await self._send(
+            sending = self._send(
                 request, engine, kv_source=source, hold=slot.hold, last_event_id=after
             )
+            response = await self._unless_stalled(request, sending)
         except UpstreamLost as error:
             if not error.sent:
                 request.ran = before
@@ -261,7 +298,7 @@
         request.ran = Ran.YES
         stream = _Stream(response, response.pieces(), slot)
         try:
-            await self._read(stream)
+            await self._unless_stalled(request, self._read(stream))
         except UpstreamLost as error:
             engine.health.on_failure(loop_time())
             self._record(request, "decode_lost", engine, error=error)
@@ -274,6 +311,20 @@
         self._record(request, "first_event", engine, first_ms=first_ms)
         return stream
 
+    async def _unless_stalled(
+        self, request: RelayRequest, step: Coroutine[Any, Any, StepResult]
+    ) -> StepResult:
+        """Waits for a step of a stream, but not for a silent engine.
+
+        Where the stream may not go on elsewhere, silence ends nothing.
+        """
+        may_go_on = request.route.resumable and request.may_send()
+        try:
+            async with asyncio.timeout(STALL_S if may_go_on else None):
+                return await step
+        except TimeoutError as error:
+            raise UpstreamLost("the engine is silent", sent=True) from error
+
     async def _read(self, stream: _Stream) -> None:
         """Reads until there is a whole event, or the end."""
         while not stream.ready and not stream.ended:
@@ -310,7 +361,7 @@
                         )
                         return
                     try:
-                        await self._read(stream)
+                        await self._unless_stalled(request, self._read(stream))
                     except UpstreamLost as error:
                         self._on_cut(request, stream, events, error)
                         owner.close_stream()
--- a/wasabimux/relay/slots.py
+++ b/wasabimux/relay/slots.py
@@ -18,7 +18,7 @@
     roomier_of_two,
 )
 from wasabimux.decisions.memory_forecast import FILL, StreamState, total
-from wasabimux.errors import ErrorCode
+from wasabimux.errors import ErrorCode, Ran
 from wasabimux.ids import FailureDomainId, UpstreamId
 from wasabimux.ports import UpstreamLost
 from wasabimux.relay.context import RelayRequest
@@ -31,6 +31,9 @@
 #: Time for which an engine that had no room is not asked again by this relay.
 FULL_S = 0.08
 
+#: Longest wait for an engine's word on a reservation.
+HOLD_TIMEOUT_S = 0.3
+
 #: Time between looks at the queue when nothing else wakes it.
 LOOK_S = 0.05
 
@@ -158,6 +161,10 @@
         prefill_s = self._mean_prompt / self._prefill_speed
         return prefill_s, self._mean_stream_s / together
 
+    def prefill_s(self, tokens: float) -> float:
+        """Returns the time that a prefill engine takes to read some tokens."""
+        return tokens / self._prefill_speed
+
     def on_prefill(self, tokens: int, took_s: float) -> None:
         """Notes a prefill; the fastest of late tells what one takes by itself."""
         speed = tokens / max(1e-3, took_s)
@@ -179,21 +186,24 @@
             RefusedError: There will be no slot in time.
         """
         now = loop_time()
-        self._refuse_if_hopeless(request, now)
+        since_s = request.arrived_s
+        if request.ran is Ran.NO:
+            self._refuse_if_hopeless(request, now)
+        else:
+            since_s = now  # its caller has events already and waits for the next
         stream = WaitingStream(
             next(self._numbers),
             request.route.priority,
             request.beyond_share,
             request.last_chance,
             self._running(request).forecast(),
-            request.arrived_s + ON_TIME_PART * request.route.target_s,
+            since_s + ON_TIME_PART * request.route.target_s,
         )
         granted: asyncio.Future[Slot] = asyncio.get_running_loop().create_future()
         self._waiting[stream.number] = _Waiting(stream, request, granted, avoid)
         self._wake.set()
         until_s = min(
-            request.arrived_s + WAIT_PART * request.route.patience_s,
-            request.deadline_s,
+            since_s + WAIT_PART * request.route.patience_s, request.deadline_s
         )
         try:
             async with asyncio.timeout_at(until_s):
@@ -304,11 +314,12 @@
         tokens = stream.state.prompt_tokens + HELD_EVENTS * profile.tokens_per_event
         try:
             call = self._engines.take_hold(tokens, profile.hold_s)
-            status, body = await engine.call(call)
+            async with asyncio.timeout(HOLD_TIMEOUT_S):
+                status, body = await engine.call(call)
             hold = self._engines.read_hold(status, body)
-        except UpstreamLost as error:
+        except (UpstreamLost, TimeoutError) as error:
             engine.health.on_unreachable(loop_time())
-            self._record(item, "hold_failed", engine, error=error)
+            self._record(item, "hold_failed", engine, error=error or "silent")
         now = loop_time()
         slot = Slot(engine, stream, hold or "", now, profile.tokens_per_event)
         if hold is None:
--- a/wasabimux/relay/upstreams.py
+++ b/wasabimux/relay/upstreams.py
@@ -24,7 +24,7 @@
 from wasabimux.settings.address import parse_address
 
 #: Longest wait for a connection. A call that waits longer is better off elsewhere.
-CONNECT_TIMEOUT_S = 0.5
+CONNECT_TIMEOUT_S = 0.25
 
 #: Idle connections kept to one upstream.
 MAX_IDLE = 8
