Give each service its retry budget; metrics; explain-request; no token timeout

The entry's agent took 5 s without a token for a dead engine; an answer that is not streamed comes at its end.

--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -11,7 +11,7 @@
 import pytest_asyncio
 
 from tests.relay_fixtures import KEY, RelayWorld, desired_state, relay_world
-from wasabimux.adapters.http_client import ClientConnection
+from wasabimux.adapters.http_client import ClientConnection, HttpClient
 from wasabimux.platform.documents import PlatformDocuments
 from wasabimux.platform.store import PlatformStore
 from wasabimux.ports import UpstreamLost
@@ -403,3 +403,19 @@
             "/gen/1", wasabimux_token_count=TOKENS
         ) as answer:
             assert await answer.body() == whole_stream()
+
+
+async def test_metrics_count_requests_by_outcome(world: RelayWorld) -> None:
+    for path in ("/safe/1", "/nowhere/"):
+        async with await world.request(path) as answer:
+            await answer.body()
+    admin = world.relays[0].admin
+    async with HttpClient(*admin) as client:
+        async with await client.request("GET", "/metrics") as answer:
+            text = (await answer.body()).decode()
+    assert 'wasabimux_requests_total{kind="safe",outcome="answered"' in text
+    assert 'outcome="refused",reason="not_found"' in text
+    assert "wasabimux_request_seconds_bucket" in text
+    assert 'wasabimux_store_calls_total{method="GET",outcome="status_200"}' in text
+    assert "wasabimux_belief_age_seconds" in text
+    assert KEY not in text
--- a/wasabimux/agent/completions.py
+++ b/wasabimux/agent/completions.py
@@ -32,9 +32,6 @@
 #: result of its prefill lives no longer.
 WORK_WAIT_S = 0.8
 
-#: Longest silence of an engine within an answer.
-TOKEN_TIMEOUT_S = 5.0
-
 #: End of an answer that is kept to read its usage from.
 TAIL_BYTES = 1024
 
@@ -93,6 +90,7 @@
             RefusedError: The request was not decoded to its end.
         """
         run = run_name(message)
+        deadline_s = loop_time() + message.budget_ms / 1000
 
         def on_next() -> None:
             # Another request's release leads here, which must not fail for this one.
@@ -103,18 +101,25 @@
             stream.send_head(Head(STATUS_GRANTED))
             source = await stream.receive_kv_source()
             with await self._capacity.begin_work(WORK_WAIT_S):
-                usage = await self._import_and_decode(run, source, stream, message)
+                usage = await self._import_and_decode(
+                    run, source, stream, message, deadline_s
+                )
         self._capacity.on_success(loop_time())
         stream.send_end(End(None, usage.prompt_tokens, usage.output_tokens))
 
     async def _import_and_decode(
-        self, run: str, source: KvSource, stream: LinkStream, message: Open
+        self,
+        run: str,
+        source: KvSource,
+        stream: LinkStream,
+        message: Open,
+        deadline_s: float,
     ) -> Usage:
         finished = False
         try:
             await self._import(run, source)
             stream.send_head(Head(STATUS_OK))
-            usage = await self._decode(run, stream, message)
+            usage = await self._decode(run, stream, message, deadline_s)
             finished = True
             return usage
         finally:
@@ -154,23 +159,27 @@
             self._capacity.on_cold(loop_time())
             raise refused(ErrorCode.UPSTREAM_FAILED, str(error), Ran.YES)
 
-    async def _decode(self, run: str, stream: LinkStream, message: Open) -> Usage:
+    async def _decode(
+        self, run: str, stream: LinkStream, message: Open, deadline_s: float
+    ) -> Usage:
         chat = message.target == CHAT_PATH
         pieces = self._engine.decode(run, message.body, chat)
         tail = b""
         last_s = loop_time()
         try:
-            while True:
-                async with asyncio.timeout(TOKEN_TIMEOUT_S):
+            # An answer that is not streamed comes at its end, so silence before the
+            # request's deadline says nothing about the engine.
+            async with asyncio.timeout_at(deadline_s):
+                while True:
                     piece = await anext(pieces, None)
-                if piece is None:
-                    return read_usage(tail)
-                self._capacity.on_step(loop_time() - last_s)
-                tail = (tail + piece)[-TAIL_BYTES:]
-                await stream.send_data(piece)
-                last_s = loop_time()
+                    if piece is None:
+                        return read_usage(tail)
+                    self._capacity.on_step(loop_time() - last_s)
+                    tail = (tail + piece)[-TAIL_BYTES:]
+                    await stream.send_data(piece)
+                    last_s = loop_time()
         except TimeoutError:
-            raise refused(ErrorCode.UPSTREAM_FAILED, "the engine is silent", Ran.YES)
+            raise refused(ErrorCode.DEADLINE, "the answer took too long", Ran.YES)
         except EngineRefused as refusal:
             raise self._refusal_from(refusal, Ran.YES)
         except (UpstreamLost, OSError) as error:
--- a/wasabimux/cli/daemon.py
+++ b/wasabimux/cli/daemon.py
@@ -107,15 +107,17 @@
     path = settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
     checked = _checked(read_document(RelaySettings, path), path)
 
-    async def run() -> bool:
+    async def run(writer: LogWriter) -> bool:
         platform = relay_platform(checked.platform)
-        async with run_relay(checked, platform, random.Random()) as running:
+        rng = random.Random()
+        running_relay = run_relay(checked, platform, rng, lambda: writer.dropped)
+        async with running_relay as running:
             await wait_for_end(path, running.timeline)
             return await running.drain()
 
     with LogWriter() as writer:
         log_to(writer)
-        drained = asyncio.run(run())
+        drained = asyncio.run(run(writer))
     _exit(drained)
 
 
--- a/wasabimux/cli/tool.py
+++ b/wasabimux/cli/tool.py
@@ -29,6 +29,7 @@
     with_editor,
 )
 from wasabimux.operations import changes
+from wasabimux.operations.explain import explain_request
 from wasabimux.operations.names import shown_name
 from wasabimux.settings.check import check_fleet
 from wasabimux.settings.findings import Finding
@@ -384,6 +385,26 @@
     print_rows(["time", "instance", "event", "request", "details"], rows, json_)
 
 
+@app.command(name="explain-request")
+def show_request(request_id: str, *logs: Path) -> None:
+    """Shows what all processes decided for a request, and what they believed then.
+
+    Example: wasabimux explain-request 9c41d07be2a35f68 relay-1.log relay-2.log
+
+    Args:
+        request_id: Identity of the request, as in its answer's header.
+        logs: Log files of relays, each holding what one or more of them wrote.
+    """
+    texts = (
+        line for log in logs for line in log.read_text(errors="replace").split("\n")
+    )
+    lines = explain_request(request_id, texts)
+    if not lines:
+        fail([Finding("$", f"no line about {request_id}", "logs that name it")])
+    for line in lines:
+        print(line)
+
+
 @app.command
 def certificates(folder: Path, *names: str) -> None:
     """Makes an authority, if there is none, and identities for processes.
--- a/wasabimux/decisions/retry_window.py
+++ b/wasabimux/decisions/retry_window.py
@@ -3,6 +3,49 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import NamedTuple
+
+
+class RetryBudget(NamedTuple):
+    """How many requests to a service may be sent once more.
+
+    Attributes:
+        ratio: Retries for each request.
+        extra: Retries of all relays together beyond the ratio.
+        window_s: Length of the window in which both are counted.
+    """
+
+    ratio: float
+    extra: float
+    window_s: float
+
+
+class ServiceRetries:
+    """The budgets of all services at one relay.
+
+    Args:
+        budget: What each service may get.
+    """
+
+    def __init__(self, budget: RetryBudget) -> None:
+        self._budget = budget
+        self._members = 1
+        self._window_by_service: dict[str, RetryWindow] = {}
+
+    def set_members(self, members: int) -> None:
+        """Sets the number of relays that share the budgets."""
+        self._members = members
+        for window in self._window_by_service.values():
+            window.set_members(members)
+
+    def of(self, service: str) -> RetryWindow:
+        """Returns the window of a service."""
+        window = self._window_by_service.get(service)
+        if window is None:
+            window = RetryWindow(self._budget)
+            window.set_members(self._members)
+            self._window_by_service[service] = window
+        return window
 
 
 class RetryWindow:
@@ -12,15 +55,11 @@
     equal part of what the budget gives beyond them.
 
     Args:
-        ratio: Retries for each request.
-        extra: Retries of all relays together beyond the ratio.
-        window_s: Length of the window.
+        budget: What all relays together may send once more.
     """
 
-    def __init__(self, ratio: float, extra: float, window_s: float) -> None:
-        self._ratio = ratio
-        self._extra = extra
-        self._window_s = window_s
+    def __init__(self, budget: RetryBudget) -> None:
+        self._budget = budget
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
         self._members = 1
@@ -37,7 +76,8 @@
     def try_spend(self, now: float) -> bool:
         """Takes a retry from the budget; returns False if there is none."""
         self._forget(now)
-        allowed = self._ratio * len(self._requests) + self._extra / self._members
+        budget = self._budget
+        allowed = budget.ratio * len(self._requests) + budget.extra / self._members
         if len(self._retries) + 1 > allowed:
             return False
         self._retries.append(now)
@@ -45,5 +85,5 @@
 
     def _forget(self, now: float) -> None:
         for times in (self._requests, self._retries):
-            while times and times[0] < now - self._window_s:
+            while times and times[0] < now - self._budget.window_s:
                 times.popleft()
--- a/wasabimux/platform/store.py
+++ b/wasabimux/platform/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -32,6 +33,7 @@
     """
 
     def __init__(self, host: str, port: int) -> None:
+        self.on_call: Callable[[str, str], None] = lambda method, outcome: None
         self._http = HttpClient(host, port)
 
     async def __aenter__(self) -> PlatformStore:
@@ -105,7 +107,9 @@
                 async with answer:
                     content = await answer.body()
         except (UpstreamLost, TimeoutError) as error:
+            self.on_call(method, "lost")
             raise StoreUnavailable(f"{method}: {error or 'no answer'}") from error
+        self.on_call(method, f"status_{answer.status}")
         return answer.status, _decoded(content)
 
 
--- a/wasabimux/relay/follower.py
+++ b/wasabimux/relay/follower.py
@@ -50,8 +50,9 @@
         rng: random.Random,
         members: Callable[[], int],
     ) -> None:
+        self.kind = kind
+        self.confirmed_s = 0.0
         self._members = members
-        self._kind = kind
         self._store = store
         self._view = view
         self._timeline = timeline
@@ -74,9 +75,7 @@
                 revision = await self._step(revision)
                 retry_s = FIRST_RETRY_S
             except HistoryLost:
-                self._timeline.record(
-                    "history_lost", kind=self._kind, revision=revision
-                )
+                self._timeline.record("history_lost", kind=self.kind, revision=revision)
                 revision = 0
             except StoreUnavailable as error:
                 self._on_lost(error)
@@ -86,16 +85,16 @@
     async def _step(self, revision: int) -> int:
         """Makes one call and returns the revision to go on from."""
         if revision == 0:
-            listed = await self._store.list(self._kind)
+            listed = await self._store.list(self.kind)
             after_outage = self._on_answer()
             self._view.apply_list(
-                self._kind, listed.objects, listed.revision, loop_time(), after_outage
+                self.kind, listed.objects, listed.revision, loop_time(), after_outage
             )
             return listed.revision
-        found = await self._store.watch(self._kind, revision, self.watch_s())
+        found = await self._store.watch(self.kind, revision, self.watch_s())
         after_outage = self._on_answer()
         self._view.apply_changes(
-            self._kind, found.changes, found.revision, loop_time(), after_outage
+            self.kind, found.changes, found.revision, loop_time(), after_outage
         )
         return found.revision
 
@@ -109,10 +108,11 @@
     def _on_answer(self) -> bool:
         """Notes an answer; returns True soon after the store was away."""
         now = loop_time()
+        self.confirmed_s = now
         if not self._reached:
             away_s = 0.0 if self._lost_s is None else now - self._lost_s
             self._timeline.record(
-                "store_regained", kind=self._kind, away_s=round(away_s, 3)
+                "store_regained", kind=self.kind, away_s=round(away_s, 3)
             )
             if self._lost_s is not None:
                 self._returned_s = now
@@ -124,5 +124,5 @@
         if self._lost_s is None:
             self._lost_s = loop_time()
         if self._reached:
-            self._timeline.record("store_lost", kind=self._kind, error=error)
+            self._timeline.record("store_lost", kind=self.kind, error=error)
         self._reached = False
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -10,7 +10,8 @@
 from wasabimux._clock import loop_time
 from wasabimux.adapters.http_client import ClientResponse
 from wasabimux.adapters.http_server import HttpResponse
-from wasabimux.decisions.retry_window import RetryWindow
+from wasabimux.adapters.relay_metrics import RelayMetrics
+from wasabimux.decisions.retry_window import ServiceRetries
 from wasabimux.errors import ErrorCode, Ran, RefusedError
 from wasabimux.ports import Headers, UpstreamLost
 from wasabimux.relay._events import EventSplitter, ServerEvent
@@ -80,6 +81,7 @@
         engines: Calls of engines.
         retries: Budget of requests sent once more.
         timeline: Records decisions.
+        metrics: Times steps.
     """
 
     def __init__(
@@ -88,9 +90,11 @@
         slots: SlotDesk,
         dialect: Dialect,
         engines: EngineDialect,
-        retries: RetryWindow,
+        retries: ServiceRetries,
         timeline: Timeline,
+        metrics: RelayMetrics,
     ) -> None:
+        self._metrics = metrics
         self._placing = placing
         self._slots = slots
         self._dialect = dialect
@@ -136,7 +140,14 @@
             return False
         if request.ran is not Ran.NO and not request.route.idempotent:
             return False
-        return request.left_s(now) > 0 and self._retries.try_spend(now)
+        return request.left_s(now) > 0 and self._spend_retry(request)
+
+    def _spend_retry(self, request: RelayRequest) -> bool:
+        """Takes one more send from the relay's budget."""
+        if self._retries.of(request.service.name).try_spend(loop_time()):
+            return True
+        self._record(request, "retry_budget_spent")
+        return False
 
     async def _attempt(self, request: RelayRequest, after: int | None) -> _Stream:
         slot = await self._slots.acquire(request, request.tried)
@@ -158,7 +169,7 @@
         for number in range(PREFILL_TRIES):
             engine = self._choose_prefill(request)
             again = number > 0
-            if engine is None or (again and not self._retries.try_spend(loop_time())):
+            if engine is None or (again and not self._spend_retry(request)):
                 break
             source = await self._prefill(request, engine)
             if source is not None:
@@ -201,6 +212,7 @@
         engine.health.on_answer(took_ms / 1000, loop_time())
         if engine.prefill_tokens == 0:
             self._slots.on_prefill(tokens, took_ms / 1000)
+        self._metrics.on_step("prefill", took_ms / 1000)
         self._record(request, "prefilled", engine, took_ms=took_ms)
         assert request.service.engine is not None
         source = f"{engine.record.address}/{handle}"
@@ -308,6 +320,7 @@
         slot.on_first_event(loop_time())
         first_ms = round((loop_time() - request.arrived_s) * 1000)
         engine.health.on_answer(0.0, loop_time())
+        self._metrics.on_step("first_event", first_ms / 1000)
         self._record(request, "first_event", engine, first_ms=first_ms)
         return stream
 
--- a/wasabimux/relay/plain.py
+++ b/wasabimux/relay/plain.py
@@ -7,7 +7,9 @@
 
 from wasabimux._clock import loop_time
 from wasabimux.adapters.http_server import HttpResponse
-from wasabimux.decisions.retry_window import RetryWindow
+from wasabimux.adapters.relay_metrics import RelayMetrics
+from wasabimux.decisions.retry_window import ServiceRetries
+from wasabimux.decisions.sampling import LineSampler
 from wasabimux.errors import ErrorCode, Ran, RefusedError
 from wasabimux.ports import Headers, UpstreamLost
 from wasabimux.relay.context import RETURN_S, RelayRequest
@@ -30,6 +32,9 @@
 #: When callers may come back after a refusal for lack of room.
 RETRY_AFTER_S = 0.2
 
+#: Ordinary answers that are logged in a second; the others are counted.
+ANSWERED_LINES_PER_S = 10.0
+
 #: Most connections to try for one call that was sent nowhere.
 MAX_UNSENT = 4
 
@@ -52,15 +57,19 @@
         dialect: Headers of requests and answers.
         retries: Budget of requests sent once more.
         timeline: Records decisions.
+        metrics: Times steps.
     """
 
     def __init__(
         self,
         placing: Placing,
         dialect: Dialect,
-        retries: RetryWindow,
+        retries: ServiceRetries,
         timeline: Timeline,
+        metrics: RelayMetrics,
     ) -> None:
+        self._metrics = metrics
+        self._sampler = LineSampler(ANSWERED_LINES_PER_S)
         self._placing = placing
         self._dialect = dialect
         self._retries = retries
@@ -135,7 +144,7 @@
             return False
         if request.ran is not Ran.NO and not request.route.idempotent:
             return False
-        return self._retries.try_spend(now)
+        return self._retries.of(request.service.name).try_spend(now)
 
     def _hedge_after_s(self, request: RelayRequest) -> float | None:
         """Returns the time after which a call is sent once more, if it may be."""
@@ -243,8 +252,21 @@
             self._record(request, "upstream_failed", upstream, status=answer.status)
         else:
             upstream.health.on_answer(latency_s, now)
+            self._metrics.on_step("call", latency_s)
+            self._record_answered(request, upstream, latency_s, now)
         return answer
 
+    def _record_answered(
+        self, request: RelayRequest, upstream: Upstream, latency_s: float, now: float
+    ) -> None:
+        """Records an ordinary answer, unless there are many."""
+        left_out = self._sampler.take(now)
+        if left_out is not None:
+            took_ms = round(latency_s * 1000)
+            self._record(
+                request, "answered", upstream, took_ms=took_ms, left_out=left_out
+            )
+
     def _on_lost(
         self, request: RelayRequest, upstream: Upstream, error: UpstreamLost
     ) -> None:
--- a/wasabimux/relay/ports.py
+++ b/wasabimux/relay/ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
 from expression import Result
@@ -61,8 +62,13 @@
     """The platform's store. Each call has a price and counts against rates.
 
     Every call raises StoreUnavailable when there is no answer.
+
+    Attributes:
+        on_call: Called after each call with its method and outcome.
     """
 
+    on_call: Callable[[str, str], None]
+
     async def list(self, kind: str) -> ListedObjects:
         """Lists all objects of a kind."""
 
--- a/wasabimux/relay/process.py
+++ b/wasabimux/relay/process.py
@@ -21,6 +21,7 @@
     json_response,
 )
 from wasabimux.adapters.metrics import ProcessMetrics
+from wasabimux.adapters.relay_metrics import RelayMetrics
 from wasabimux.link.channels import listen_tcp
 from wasabimux.relay.relay import Relay, RelayPlatform
 from wasabimux.settings.address import parse_address
@@ -44,19 +45,24 @@
     Attributes:
         relay: The role.
         callers: Address for callers.
+        admin: Address for operators.
         timeline: Its events.
         drain: Ends in good order; True if every request has ended.
     """
 
     relay: Relay
     callers: tuple[str, int]
+    admin: tuple[str, int]
     timeline: Timeline
     drain: Callable[[], Any]
 
 
 @asynccontextmanager
 async def run_relay(
-    settings: RelaySettings, platform: RelayPlatform, rng: random.Random
+    settings: RelaySettings,
+    platform: RelayPlatform,
+    rng: random.Random,
+    lines_dropped: Callable[[], int] = lambda: 0,
 ) -> AsyncGenerator[RunningRelay, None]:
     """Runs a relay with its ports.
 
@@ -64,11 +70,14 @@
         settings: Settings of the process.
         platform: The platform that it runs on.
         rng: Source of random choices.
+        lines_dropped: Returns the log lines that were dropped.
     """
     registry = Registry()
     metrics = ProcessMetrics(registry)
     timeline = Timeline(settings.instance, on_event=metrics.on_event)
-    relay = Relay(settings, platform, timeline, rng)
+    relay_metrics = RelayMetrics(registry)
+    platform.store.on_call = relay_metrics.on_store_call
+    relay = Relay(settings, platform, timeline, relay_metrics, rng)
     callers = HttpServer(relay.handle)
     relay.server = callers
 
@@ -81,11 +90,15 @@
         ready = is_ready()
         return json_response(200 if ready else 503, {"ready": ready})
 
-    admin = HttpServer(
-        AdminHandler(
-            lambda: relay_status(relay, settings), is_ready, [timeline], None, registry
-        ).handle
+    handler = AdminHandler(
+        lambda: relay_status(relay, settings), is_ready, [timeline], None, registry
     )
+
+    async def answer_admin(request: HttpRequest) -> HttpResponse:
+        relay_metrics.set_state("log_lines_dropped", lines_dropped())
+        return await handler.handle(request)
+
+    admin = HttpServer(answer_admin)
     ready = HttpServer(answer_ready)
 
     async def drain() -> bool:
@@ -105,7 +118,7 @@
         async with callers, ready, admin:
             address = await callers.listen(*parse_address(settings.callers))
             await ready.listen(*parse_address(settings.ready))
-            await admin.listen(*parse_address(settings.admin))
+            admin_address = await admin.listen(*parse_address(settings.admin))
             relay.start()
             timeline.record(
                 "started",
@@ -114,7 +127,7 @@
                 incarnation=relay.incarnation,
                 callers=settings.callers,
             )
-            yield RunningRelay(relay, address, timeline, drain)
+            yield RunningRelay(relay, address, admin_address, timeline, drain)
             timeline.record("stopped")
 
 
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -13,10 +13,11 @@
     HttpServer,
     refusal_response,
 )
-from wasabimux.decisions.retry_window import RetryWindow
+from wasabimux.adapters.relay_metrics import RelayMetrics
+from wasabimux.decisions.retry_window import RetryBudget, ServiceRetries
 from wasabimux.decisions.shared_bucket import RateTolerance, SharedBuckets
 from wasabimux.entry.peers import PeerLinks
-from wasabimux.errors import Ran, RefusedError
+from wasabimux.errors import Ran, Refusal, RefusedError
 from wasabimux.ids import FailureDomainId, RequestId, WorkspaceId, new_incarnation
 from wasabimux.link.channels import connect_tcp
 from wasabimux.link.link import Link, LinkTraffic
@@ -42,6 +43,9 @@
 #: Time between looks at what expires by itself.
 EXPIRE_S = 0.2
 
+#: Kind of a request that belongs to no route.
+UNKNOWN_KIND = "unknown"
+
 
 class RelayPlatform:
     """What a relay needs of the platform that it runs on.
@@ -73,6 +77,7 @@
         settings: Settings of the process.
         platform: The platform that it runs on.
         timeline: Records events.
+        metrics: Counts and times requests.
         rng: Source of random choices.
     """
 
@@ -81,8 +86,10 @@
         settings: RelaySettings,
         platform: RelayPlatform,
         timeline: Timeline,
+        metrics: RelayMetrics,
         rng: random.Random,
     ) -> None:
+        self._metrics = metrics
         domain = FailureDomainId(settings.failure_domain)
         self.incarnation = new_incarnation()
         self.traffic = LinkTraffic()
@@ -96,8 +103,10 @@
                 settings.rate_window_s, settings.rate_overage, settings.rate_slack
             )
         )
-        self._retries = RetryWindow(
-            settings.retry_ratio, settings.retry_extra, settings.retry_window_s
+        self._retries = ServiceRetries(
+            RetryBudget(
+                settings.retry_ratio, settings.retry_extra, settings.retry_window_s
+            )
         )
         self.links = PeerLinks(
             hello_of(settings.instance, self.incarnation),
@@ -122,13 +131,16 @@
             platform.engines,
             domain,
             timeline,
+            metrics,
             rng,
             self.mesh.note_use,
         )
         self._admission = Admission(
             self.view, platform.dialect, self._buckets, timeline, rng
         )
-        self._plain = PlainFlow(self.placing, platform.dialect, self._retries, timeline)
+        self._plain = PlainFlow(
+            self.placing, platform.dialect, self._retries, timeline, metrics
+        )
         self._generation = GenerationFlow(
             self.placing,
             self.slots,
@@ -136,6 +148,7 @@
             platform.engines,
             self._retries,
             timeline,
+            metrics,
         )
         kinds = platform.documents.kinds
         self._followers = [
@@ -207,14 +220,42 @@
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         body = await request.body()
         now = loop_time()
-        admitted = self._admission.admit(request, body, now)
-        self._retries.on_request(now)
         try:
-            return await self._serve(admitted)
-        except RefusedError:
+            admitted = self._admission.admit(request, body, now)
+        except RefusedError as error:
+            self._count(UNKNOWN_KIND, error.refusal, request.arrived_s)
+            raise
+        self._retries.of(admitted.service.name).on_request(now)
+        kind = admitted.route.repeat.value
+        try:
+            response = await self._serve(admitted)
+        except RefusedError as error:
             if admitted.ran is Ran.NO:
                 self._admission.refund(admitted, loop_time())
+            self._count(kind, error.refusal, request.arrived_s)
             raise
+        return self._counted(response, kind, request.arrived_s)
+
+    def _counted(
+        self, response: HttpResponse, kind: str, arrived_s: float
+    ) -> HttpResponse:
+        """Counts an answer once it has ended."""
+        on_done = response.on_done
+
+        def count(complete: bool) -> None:
+            if on_done is not None:
+                on_done(complete)
+            outcome = "answered" if complete else "cut"
+            reason = f"status_{response.status // 100}xx"
+            self._metrics.on_request(kind, outcome, reason, loop_time() - arrived_s)
+
+        response.on_done = count
+        return response
+
+    def _count(self, kind: str, refusal: Refusal, arrived_s: float) -> None:
+        outcome = "refused" if refusal.ran is Ran.NO else "failed"
+        duration_s = loop_time() - arrived_s
+        self._metrics.on_request(kind, outcome, refusal.code.value, duration_s)
 
     async def _serve(self, request: RelayRequest) -> HttpResponse:
         if request.service.engine is not None:
@@ -276,13 +317,24 @@
 
     async def _expire(self) -> None:
         while True:
+            began_s = loop_time()
             await asyncio.sleep(EXPIRE_S)
             now = loop_time()
+            self._measure(now, now - began_s - EXPIRE_S)
             self.view.expire(now)
             members = self.mesh.members()
             self._retries.set_members(members)
             self._buckets.set_silent(self.mesh.silent(now), members)
 
+    def _measure(self, now: float, lag_s: float) -> None:
+        """Sets the gauges."""
+        for follower in self._followers:
+            self._metrics.set_belief_age(follower.kind, now - follower.confirmed_s)
+        self._metrics.set_state("loop_lag_seconds", max(0.0, lag_s))
+        self._metrics.set_state("peers", len(self.mesh.peers_by_address))
+        self._metrics.set_state("silent_peers", self.mesh.silent(now))
+        self._metrics.set_state("waiting_streams", self.slots.waiting)
+
     def _record_refusal(self, error: RefusedError, age_s: float) -> None:
         refusal = error.refusal
         self._timeline.record(
--- a/wasabimux/relay/slots.py
+++ b/wasabimux/relay/slots.py
@@ -10,6 +10,7 @@
 from functools import partial
 
 from wasabimux._clock import loop_time
+from wasabimux.adapters.relay_metrics import RelayMetrics
 from wasabimux.decisions.decode_queue import (
     EngineRoom,
     WaitingStream,
@@ -119,6 +120,7 @@
         engines: Calls of engines.
         failure_domain: Where the relay runs.
         timeline: Records decisions.
+        metrics: Times waits.
         rng: Source of random choices.
         on_use: Called when a slot is taken or freed.
     """
@@ -129,11 +131,13 @@
         engines: EngineDialect,
         failure_domain: FailureDomainId,
         timeline: Timeline,
+        metrics: RelayMetrics,
         rng: random.Random,
         on_use: Callable[[], None],
     ) -> None:
         self._placing = placing
         self._engines = engines
+        self._metrics = metrics
         self._rng = rng
         self._on_use = on_use
         self._failure_domain = failure_domain
@@ -212,6 +216,14 @@
             if granted.done() and not granted.cancelled():
                 self.release(granted.result(), loop_time())  # it came too late
             if isinstance(error, TimeoutError):
+                self._timeline.record(
+                    "slot_wait_over",
+                    request.facts.id,
+                    request.workspace or "",
+                    waiting=self.waiting,
+                    waiting_elsewhere=self._placing.waiting_elsewhere(),
+                    beyond_share=request.beyond_share,
+                )
                 text = "no decode slot came free in time"
                 raise self._no_slot(request, text) from None
             raise
@@ -330,6 +342,7 @@
         else:
             item.granted.set_result(slot)
             wait_ms = round((now - item.request.arrived_s) * 1000)
+            self._metrics.on_step("slot_wait", wait_ms / 1000)
             self._record(item, "slot_granted", engine, tokens=tokens, wait_ms=wait_ms)
 
     async def _drop(self, engine: Upstream, hold: str) -> None:
@@ -386,6 +399,16 @@
         ahead = self.waiting + self._placing.waiting_elsewhere()
         wait_s = expected_wait_s(ahead, running, self._mean_stream_s, free)
         if wait_s > WAIT_PART * request.route.patience_s:
+            self._timeline.record(
+                "slots_short",
+                request.facts.id,
+                request.workspace or "",
+                ahead=ahead,
+                running=running,
+                free=free,
+                stream_s=round(self._mean_stream_s, 2),
+                wait_s=round(wait_s, 2),
+            )
             raise self._no_slot(request, "too many streams wait", wait_s)
 
     def _no_slot(
