--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -433,3 +433,40 @@
     for _ in range(200):
         slots.on_prefill(5_000, 0.2)
     assert 0.15 < slots.prefill_s(5_000) <= 0.2
+
+
+async def test_a_retry_without_a_slot_spends_no_further_budget(
+    world: RelayWorld,
+) -> None:
+    """Failed first: it tried again at once, until the budget of all was spent."""
+    decodes = [world.runners[name] for name in ("dec-1", "dec-2", "dec-3")]
+    for runner in decodes:
+        runner.troubles.cut_after = 0
+        runner.troubles.delay_s = 0.2
+    relay = world.relays[0].relay
+    sending = asyncio.ensure_future(
+        world.request("/gen/1", wasabimux_token_count=TOKENS)
+    )
+    await world.eventually(lambda: any(runner.runs for runner in decodes))
+    for runner in decodes:
+        runner.troubles.no_holds = True
+    async with await sending as answer:
+        assert answer.status == 502  # 503 would say that it has not run
+        assert b'"ran": "yes"' in await answer.body()
+    recorded = [event.name for event in world.relays[0].timeline.events()]
+    assert recorded.count("sent_again") <= 1
+    assert relay.slots.waiting == 0
+
+
+async def test_silence_ends_nothing_once_the_budget_is_spent(
+    world: RelayWorld,
+) -> None:
+    """Failed first: the stream was cut though it could not go on elsewhere."""
+    for name in ("dec-1", "dec-2", "dec-3"):
+        world.runners[name].troubles.delay_s = 1.5
+    relay = world.relays[0].relay
+    window = relay.retries.of("engines")
+    while window.try_spend(asyncio.get_running_loop().time()):
+        continue
+    async with await world.request("/gen/1", wasabimux_token_count=TOKENS) as answer:
+        assert await answer.body() == whole_stream()
--- a/wasabimux/relay/context.py
+++ b/wasabimux/relay/context.py
@@ -6,7 +6,14 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError
+from wasabimux.errors import (
+    RETRYABLE_STATUSES,
+    STATUS_BY_CODE,
+    ErrorCode,
+    Ran,
+    Refusal,
+    RefusedError,
+)
 from wasabimux.ids import UpstreamId, WorkspaceId
 from wasabimux.ports import Headers
 from wasabimux.relay.model import RelayRoute, RequestFacts, ServiceProfile
@@ -52,6 +59,8 @@
         tried: Upstreams that it was sent to.
         ran: Whether it has run, as far as is known.
         prefilled: Its KV cache, if one waits to be taken.
+        paid_retry: True if its next retry is taken from the budget already.
+        answering: True once its caller has got a part of the answer.
     """
 
     facts: RequestFacts
@@ -70,6 +79,8 @@
     tried: list[UpstreamId] = field(default_factory=list)
     ran: Ran = Ran.NO
     prefilled: Prefilled | None = None
+    paid_retry: bool = False
+    answering: bool = False
 
     @property
     def last_chance(self) -> bool:
@@ -97,12 +108,14 @@
     def refusal(
         self, code: ErrorCode, message: str, retry_after_s: float | None = None
     ) -> RefusedError:
-        """Returns a final refusal that tells the truth on whether it ran."""
-        idempotent = self.route.idempotent
-        ran = self.ran
-        if code is ErrorCode.OVERLOADED and ran is not Ran.NO and not idempotent:
+        """Returns a final refusal that tells the truth on whether it ran.
+
+        Statuses that callers take for a promise that nothing has run are given only
+        where that is known.
+        """
+        if STATUS_BY_CODE[code] in RETRYABLE_STATUSES and self.ran is not Ran.NO:
             code = ErrorCode.UPSTREAM_LOST
-        error = RefusedError(Refusal(code, message, ran, retry_after_s))
+        error = RefusedError(Refusal(code, message, self.ran, retry_after_s))
         error.request_id = self.facts.id
         return error
 
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -127,10 +127,11 @@
     async def _begin(self, request: RelayRequest, after: int | None) -> _Stream:
         """Finds an engine that starts the stream, within the budget."""
         while True:
+            sent = len(request.tried)
             try:
                 return await self._attempt(request, after)
             except RefusedError:
-                if not self._may_repeat(request):
+                if len(request.tried) == sent or not self._may_repeat(request):
                     raise
                 self._record(request, "sent_again")
 
@@ -144,6 +145,9 @@
 
     def _spend_retry(self, request: RelayRequest) -> bool:
         """Takes one more send from the relay's budget."""
+        if request.paid_retry:
+            request.paid_retry = False
+            return True
         if self._retries.of(request.service.name).try_spend(loop_time()):
             return True
         self._record(request, "retry_budget_spent")
@@ -329,14 +333,19 @@
     ) -> StepResult:
         """Waits for a step of a stream, but not for a silent engine.
 
-        Where the stream may not go on elsewhere, silence ends nothing.
+        Where the stream may not go on elsewhere, or the budget of retries is spent,
+        silence ends nothing.
         """
-        may_go_on = request.route.resumable and request.may_send()
+        task = asyncio.ensure_future(step)
         try:
-            async with asyncio.timeout(STALL_S if may_go_on else None):
-                return await step
-        except TimeoutError as error:
-            raise UpstreamLost("the engine is silent", sent=True) from error
+            may_go_on = request.route.resumable and request.may_send()
+            await asyncio.wait({task}, timeout=STALL_S if may_go_on else None)
+            if not task.done() and self._spend_retry(request):
+                request.paid_retry = True
+                raise UpstreamLost("the engine is silent", sent=True)
+            return await task
+        finally:
+            task.cancel()
 
     async def _read(self, stream: _Stream) -> None:
         """Reads until there is a whole event, or the end."""
@@ -364,6 +373,7 @@
                             last_id = event.id
                         events += 1
                         stream.slot.on_events(events)
+                        request.answering = True
                         yield event.data
                     stream.ready = []
                     if stream.ended:
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -103,7 +103,7 @@
                 settings.rate_window_s, settings.rate_overage, settings.rate_slack
             )
         )
-        self._retries = ServiceRetries(
+        self.retries = ServiceRetries(
             RetryBudget(
                 settings.retry_ratio, settings.retry_extra, settings.retry_window_s
             )
@@ -139,14 +139,14 @@
             self.view, platform.dialect, self._buckets, timeline, rng
         )
         self._plain = PlainFlow(
-            self.placing, platform.dialect, self._retries, timeline, metrics
+            self.placing, platform.dialect, self.retries, timeline, metrics
         )
         self._generation = GenerationFlow(
             self.placing,
             self.slots,
             platform.dialect,
             platform.engines,
-            self._retries,
+            self.retries,
             timeline,
             metrics,
         )
@@ -225,7 +225,7 @@
         except RefusedError as error:
             self._count(UNKNOWN_KIND, error.refusal, request.arrived_s)
             raise
-        self._retries.of(admitted.service.name).on_request(now)
+        self.retries.of(admitted.service.name).on_request(now)
         kind = admitted.route.repeat.value
         try:
             response = await self._serve(admitted)
@@ -323,7 +323,7 @@
             self._measure(now, now - began_s - EXPIRE_S)
             self.view.expire(now)
             members = self.mesh.members()
-            self._retries.set_members(members)
+            self.retries.set_members(members)
             self._buckets.set_silent(self.mesh.silent(now), members)
 
     def _measure(self, now: float, lag_s: float) -> None:
--- a/wasabimux/relay/slots.py
+++ b/wasabimux/relay/slots.py
@@ -19,7 +19,7 @@
     roomier_of_two,
 )
 from wasabimux.decisions.memory_forecast import FILL, StreamState, total
-from wasabimux.errors import ErrorCode, Ran
+from wasabimux.errors import ErrorCode
 from wasabimux.ids import FailureDomainId, UpstreamId
 from wasabimux.ports import UpstreamLost
 from wasabimux.relay.context import RelayRequest
@@ -200,10 +200,10 @@
         """
         now = loop_time()
         since_s = request.arrived_s
-        if request.ran is Ran.NO:
-            self._refuse_if_hopeless(request, now)
-        else:
+        if request.answering:
             since_s = now  # its caller has events already and waits for the next
+        elif not request.tried:
+            self._refuse_if_hopeless(request, now)
         stream = WaitingStream(
             next(self._numbers),
             request.route.priority,
