--- /dev/null
+++ b/tests/test_relay_duty.py
@@ -0,0 +1,80 @@
+"""A duty that one relay has at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncGenerator
+from typing import NamedTuple
+
+import pytest_asyncio
+
+from wasabimux.platform.standins.store import StandInStore
+from wasabimux.platform.store import PlatformStore
+from wasabimux.relay.duty import ACT_PART, TAKE_LEASES, Duty, boot_time_s
+from wasabimux.settings.address import parse_address
+from wasabimux.timeline import Timeline
+
+LEASE_S = 1.0
+
+
+class Holders(NamedTuple):
+    """A store and two relays that want one duty."""
+
+    store: StandInStore
+    first: Duty
+    second: Duty
+
+
+@pytest_asyncio.fixture
+async def holders() -> AsyncGenerator[Holders, None]:
+    """Two relays before one store."""
+    async with StandInStore() as stand_in:
+        address = parse_address(await stand_in.listen())
+        async with PlatformStore(*address) as store:
+            duties = [
+                Duty("leases", "phases", name, LEASE_S, store, Timeline(name))
+                for name in ("first", "second")
+            ]
+            yield Holders(stand_in, *duties)
+
+
+def test_a_taker_waits_longer_than_a_holder_acts() -> None:
+    """Between the last act of one and the first of the next lies a whole lease."""
+    assert TAKE_LEASES - ACT_PART > 1.0
+
+
+async def test_one_of_two_that_start_together_holds(holders: Holders) -> None:
+    await asyncio.gather(holders.first.hold(), holders.second.hold())
+    now = boot_time_s()
+    assert not (holders.first.may_act(now) and holders.second.may_act(now))
+    assert max(holders.first.fence, holders.second.fence) > 0
+
+
+async def test_nobody_takes_from_a_holder_that_renews(holders: Holders) -> None:
+    assert await holders.first.hold()
+    taking = asyncio.ensure_future(holders.second.hold())
+    while not taking.done():
+        assert await holders.first.hold()
+        await asyncio.sleep(LEASE_S / 4)
+    assert not taking.result()
+
+
+async def test_the_next_holder_has_a_higher_fencing_token(holders: Holders) -> None:
+    assert await holders.first.hold()
+    fence = holders.first.fence
+    assert await holders.second.hold()
+    assert holders.second.fence > fence
+    assert not holders.first.may_act(boot_time_s())
+    assert not await holders.first.hold()
+
+
+async def test_a_write_without_an_answer_gives_no_right_to_act(
+    holders: Holders,
+) -> None:
+    assert await holders.first.hold()
+    await asyncio.sleep(LEASE_S)
+    holders.store.lose_writes = True
+    assert not await holders.first.hold()
+    assert not holders.first.may_act(boot_time_s())
+    holders.store.lose_writes = False
+    assert await holders.first.hold()  # after waiting as any taker does
