--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -33,6 +33,7 @@
 from wasabimux.decisions.retry_window import RetryBudget, RetryWindow, ServiceRetries
 from wasabimux.decisions.route_table import RouteTable, draw_weighted
 from wasabimux.decisions.shared_bucket import RateTolerance, SharedBuckets
+from wasabimux.decisions.stream_estimates import StreamEstimates
 from wasabimux.decisions.upstream_choice import CallCandidate, choose_upstream
 from wasabimux.decisions.upstream_health import FAILURES_IN_A_ROW, UpstreamHealth
 from wasabimux.ids import FailureDomainId, UpstreamId
@@ -258,6 +259,18 @@
     assert wanted_prefill(1, StreamCost(0.4, 0.1)) == 0
 
 
+def test_cached_prompts_say_nothing_of_an_engines_speed() -> None:
+    """Failed first: prefills were cut after 0.2 s, as cached ones took 2 ms."""
+    estimates = StreamEstimates()
+    before_s = estimates.prefill_s(5_000)
+    for _ in range(50):
+        estimates.on_prefill(5_000, 0.002)
+    assert estimates.prefill_s(5_000) == before_s
+    for _ in range(200):
+        estimates.on_prefill(5_000, 0.2)
+    assert 0.15 < estimates.prefill_s(5_000) <= 0.2
+
+
 def test_changes_end_and_do_not_flap() -> None:
     """From any split, changes lead to one split and stop there."""
     cost = StreamCost(0.1, 0.4)
--- /dev/null
+++ b/wasabimux/decisions/stream_estimates.py
@@ -0,0 +1,84 @@
+"""What streams take, learned from those that have ended."""
+
+from __future__ import annotations
+
+from wasabimux.decisions.memory_forecast import FILL
+from wasabimux.decisions.phase_plan import StreamCost
+
+#: Weight of one stream in the moving averages.
+STREAM_WEIGHT = 0.1
+
+#: What is expected before any stream was seen.
+FIRST_STREAM_S = 3.5
+FIRST_TOKENS_PER_S = 1_600.0
+FIRST_MEMORY_TOKENS = 8_000.0
+FIRST_PROMPT_TOKENS = 5_000.0
+FIRST_PREFILL_TOKENS_PER_S = 50_000.0
+
+#: Weights of a prefill that was faster or slower than expected, and the factor of the
+#: expected speed above which its prompt must have been cached.
+FASTER_WEIGHT = 0.2
+SLOWER_WEIGHT = 0.02
+CACHED_FACTOR = 2.0
+
+
+class StreamEstimates:
+    """Moving averages of what streams take.
+
+    Attributes:
+        stream_s: Time for which a stream holds its slot.
+        tokens_per_s: Tokens that a stream makes in a second.
+    """
+
+    def __init__(self) -> None:
+        self.stream_s = FIRST_STREAM_S
+        self.tokens_per_s = FIRST_TOKENS_PER_S
+        self._memory_tokens = FIRST_MEMORY_TOKENS
+        self._prompt_tokens = FIRST_PROMPT_TOKENS
+        self._prefill_tokens_per_s = FIRST_PREFILL_TOKENS_PER_S
+
+    def on_stream(
+        self, prompt_tokens: int, made_tokens: int, held_s: float, making_s: float
+    ) -> None:
+        """Notes a stream that has ended in good order.
+
+        Args:
+            prompt_tokens: Tokens of its prompt.
+            made_tokens: Tokens of its answer.
+            held_s: Time for which it held its slot.
+            making_s: Time from its first event to its end.
+        """
+        memory = prompt_tokens + made_tokens / 2
+        self._memory_tokens += STREAM_WEIGHT * (memory - self._memory_tokens)
+        self.stream_s += STREAM_WEIGHT * (held_s - self.stream_s)
+        if making_s > 0 and made_tokens > 0:
+            speed = made_tokens / making_s
+            self.tokens_per_s += STREAM_WEIGHT * (speed - self.tokens_per_s)
+
+    def on_prefill(self, tokens: int, took_s: float) -> None:
+        """Notes a prefill.
+
+        Most wait behind others and so seem slower than their engine; the estimate
+        follows faster ones more. One whose prompt was cached says nothing.
+        """
+        self._prompt_tokens += STREAM_WEIGHT * (tokens - self._prompt_tokens)
+        speed = tokens / max(1e-3, took_s)
+        expected = self._prefill_tokens_per_s
+        if speed < CACHED_FACTOR * expected:
+            weight = FASTER_WEIGHT if speed > expected else SLOWER_WEIGHT
+            self._prefill_tokens_per_s += weight * (speed - expected)
+
+    def prefill_s(self, tokens: float) -> float:
+        """Returns the time that a prefill engine takes to read some tokens."""
+        return tokens / self._prefill_tokens_per_s
+
+    def cost(self, memory_tokens: int, slots: int) -> StreamCost:
+        """Returns what a stream takes of a prefill and of a decode engine.
+
+        Args:
+            memory_tokens: Memory of an engine.
+            slots: Slots of an engine.
+        """
+        together = FILL * memory_tokens / max(1.0, self._memory_tokens)
+        together = min(together, float(slots))
+        return StreamCost(self.prefill_s(self._prompt_tokens), self.stream_s / together)
--- a/wasabimux/relay/context.py
+++ b/wasabimux/relay/context.py
@@ -16,7 +16,12 @@
 )
 from wasabimux.ids import UpstreamId, WorkspaceId
 from wasabimux.ports import Headers
-from wasabimux.relay.model import RelayRoute, RequestFacts, ServiceProfile
+from wasabimux.relay.model import (
+    RelayRoute,
+    RequestFacts,
+    SendOptions,
+    ServiceProfile,
+)
 
 #: Time taken off what is left, for the way back to the caller.
 RETURN_S = 0.03
@@ -95,6 +100,10 @@
         """Returns the time until its end."""
         return self.deadline_s - now
 
+    def send_options(self, upstream: UpstreamId, now: float) -> SendOptions:
+        """Returns what every send of the request to an upstream says."""
+        return SendOptions(upstream, self.left_s(now), self.workspace, self.drop_key)
+
     def kv_source(self, now: float) -> str | None:
         """Returns where its KV cache is, if it can still be taken."""
         if self.prefilled is None or self.prefilled.kept_until_s <= now:
--- a/wasabimux/relay/phases.py
+++ b/wasabimux/relay/phases.py
@@ -8,17 +8,16 @@
 from wasabimux.decisions.phase_plan import (
     PhaseChange,
     PhasedEngine,
-    StreamCost,
     next_change,
 )
 from wasabimux.decisions.placement import rendezvous_top
+from wasabimux.decisions.stream_estimates import StreamEstimates
 from wasabimux.ports import UpstreamLost
 from wasabimux.relay.duty import Duty, boot_time_s
 from wasabimux.relay.mesh import Mesh
 from wasabimux.relay.model import Phase, ServiceProfile
 from wasabimux.relay.placing import Placing
 from wasabimux.relay.ports import EngineDialect, EngineReport, PhaseOrder
-from wasabimux.relay.slots import SlotDesk
 from wasabimux.relay.upstreams import Upstream
 from wasabimux.relay.view import FleetView
 from wasabimux.timeline import Timeline
@@ -50,7 +49,7 @@
         duty: The duty to give orders.
         view: What the relay believes.
         placing: Finds engines.
-        slots: Knows what streams take.
+        estimates: What streams take.
         mesh: Knows the other relays.
         engines: Calls of engines.
         timeline: Records orders.
@@ -62,7 +61,7 @@
         duty: Duty,
         view: FleetView,
         placing: Placing,
-        slots: SlotDesk,
+        estimates: StreamEstimates,
         mesh: Mesh,
         engines: EngineDialect,
         timeline: Timeline,
@@ -71,7 +70,7 @@
         self._duty = duty
         self._view = view
         self._placing = placing
-        self._slots = slots
+        self._estimates = estimates
         self._mesh = mesh
         self._engines = engines
         self._timeline = timeline
@@ -132,8 +131,9 @@
             for item in upstreams
             if item.phase is not None
         ]
-        prefill_s, decode_s = self._slots.stream_cost(service.engine)
-        return next_change(engines, StreamCost(prefill_s, decode_s))
+        profile = service.engine
+        cost = self._estimates.cost(profile.memory_tokens, profile.slots)
+        return next_change(engines, cost)
 
     async def _order(
         self, service: ServiceProfile, engine: Upstream, change: PhaseChange
--- a/wasabimux/relay/plain.py
+++ b/wasabimux/relay/plain.py
@@ -13,13 +13,12 @@
 from wasabimux.errors import ErrorCode, Ran, RefusedError
 from wasabimux.ports import Headers, UpstreamLost
 from wasabimux.relay.context import RETURN_S, RelayRequest
-from wasabimux.relay.model import AnswerFacts, SendOptions
+from wasabimux.relay.model import AnswerFacts
 from wasabimux.relay.placing import Placing
 from wasabimux.relay.ports import Dialect
-from wasabimux.relay.upstreams import Upstream
-from wasabimux.timeline import Timeline
+from wasabimux.relay.records import RequestRecords
+from wasabimux.relay.upstreams import STATUS_MISDIRECTED, Upstream
 
-STATUS_MISDIRECTED = 421
 STATUS_SERVER_ERROR = 500
 
 #: A call that takes this many times the upstream's usual time is sent once more.
@@ -56,7 +55,7 @@
         placing: Finds upstreams.
         dialect: Headers of requests and answers.
         retries: Budget of requests sent once more.
-        timeline: Records decisions.
+        records: Records decisions.
         metrics: Times steps.
     """
 
@@ -65,15 +64,15 @@
         placing: Placing,
         dialect: Dialect,
         retries: ServiceRetries,
-        timeline: Timeline,
+        records: RequestRecords,
         metrics: RelayMetrics,
     ) -> None:
+        self._records = records
         self._metrics = metrics
         self._sampler = LineSampler(ANSWERED_LINES_PER_S)
         self._placing = placing
         self._dialect = dialect
         self._retries = retries
-        self._timeline = timeline
 
     async def serve(self, request: RelayRequest) -> HttpResponse:
         """Serves a call.
@@ -107,7 +106,7 @@
                 )
                 if not done:
                     if self._may_repeat(request):
-                        self._record(request, "hedged")
+                        self._records.record(request, "hedged")
                         running.add(self._start(request))
                     else:
                         done, running = await asyncio.wait(
@@ -173,7 +172,9 @@
                 request.tried.remove(upstream.id)
                 continue  # it was sent nowhere, or to nobody who would run it
             if answer.facts.not_executed:
-                self._record(request, "not_executed", upstream, status=answer.status)
+                self._records.record(
+                    request, "not_executed", upstream, status=answer.status
+                )
                 raise request.refusal(
                     ErrorCode.OVERLOADED, "the upstream is full", RETRY_AFTER_S
                 )
@@ -196,12 +197,7 @@
     async def _send(self, request: RelayRequest, upstream: Upstream) -> Answer | None:
         """Sends once; returns None if the request reached nobody who would run it."""
         started_s = loop_time()
-        options = SendOptions(
-            upstream.id,
-            request.left_s(started_s),
-            request.workspace,
-            request.drop_key,
-        )
+        options = request.send_options(upstream.id, started_s)
         headers = self._dialect.request_headers(request.headers, options)
         upstream.running += 1
         before, request.ran = request.ran, Ran.UNKNOWN
@@ -235,21 +231,25 @@
         upstream, facts = answer.upstream, answer.facts
         if answer.status == STATUS_MISDIRECTED:
             upstream.leaving = True
-            self._record(request, "misdirected", upstream)
+            self._records.record(request, "misdirected", upstream)
             return None
         if facts.not_executed:
             upstream.health.on_failure(now)
             return answer
         if facts.id != request.facts.id or not facts.signed:
             upstream.health.on_failure(now)
-            self._record(request, "answer_refused", upstream, status=answer.status)
+            self._records.record(
+                request, "answer_refused", upstream, status=answer.status
+            )
             raise request.refusal(
                 ErrorCode.UPSTREAM_FAILED, "the upstream's answer is not its own"
             )
         request.ran = Ran.YES
         if answer.status >= STATUS_SERVER_ERROR:
             upstream.health.on_failure(now)
-            self._record(request, "upstream_failed", upstream, status=answer.status)
+            self._records.record(
+                request, "upstream_failed", upstream, status=answer.status
+            )
         else:
             upstream.health.on_answer(latency_s, now)
             self._metrics.on_step("call", latency_s)
@@ -263,7 +263,7 @@
         left_out = self._sampler.take(now)
         if left_out is not None:
             took_ms = round(latency_s * 1000)
-            self._record(
+            self._records.record(
                 request, "answered", upstream, took_ms=took_ms, left_out=left_out
             )
 
@@ -275,22 +275,6 @@
             upstream.health.on_failure(now)
         else:
             upstream.health.on_unreachable(now)
-        self._record(request, "upstream_lost", upstream, sent=error.sent, error=error)
-
-    def _record(
-        self,
-        request: RelayRequest,
-        name: str,
-        upstream: Upstream | None = None,
-        **fields: object,
-    ) -> None:
-        self._timeline.record(
-            name,
-            request.facts.id,
-            request.workspace or "",
-            route=request.route.name,
-            upstream=upstream.id if upstream else "",
-            attempt=len(request.tried),
-            left_ms=round(request.left_s(loop_time()) * 1000),
-            **fields,
+        self._records.record(
+            request, "upstream_lost", upstream, sent=error.sent, error=error
         )
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -16,6 +16,7 @@
 from wasabimux.adapters.relay_metrics import RelayMetrics
 from wasabimux.decisions.retry_window import RetryBudget, ServiceRetries
 from wasabimux.decisions.shared_bucket import RateTolerance, SharedBuckets
+from wasabimux.decisions.stream_estimates import StreamEstimates
 from wasabimux.entry.peers import PeerLinks
 from wasabimux.errors import Ran, Refusal, RefusedError
 from wasabimux.ids import FailureDomainId, RequestId, WorkspaceId, new_incarnation
@@ -33,6 +34,8 @@
 from wasabimux.relay.placing import Placing
 from wasabimux.relay.plain import PlainFlow
 from wasabimux.relay.ports import Dialect, Documents, EngineDialect, ObjectStore
+from wasabimux.relay.prefill import PrefillFlow
+from wasabimux.relay.records import RequestRecords
 from wasabimux.relay.registration import Registration
 from wasabimux.relay.slots import SlotDesk
 from wasabimux.relay.upstreams import UpstreamPool
@@ -126,11 +129,14 @@
         )
         self.placing = Placing(self.view, self.pool, domain, rng)
         self.placing.mesh = self.mesh
+        estimates = StreamEstimates()
+        records = RequestRecords(timeline)
         self.slots = SlotDesk(
             self.placing,
             platform.engines,
             domain,
             timeline,
+            estimates,
             metrics,
             rng,
             self.mesh.note_use,
@@ -139,15 +145,22 @@
             self.view, platform.dialect, self._buckets, timeline, rng
         )
         self._plain = PlainFlow(
-            self.placing, platform.dialect, self.retries, timeline, metrics
+            self.placing, platform.dialect, self.retries, records, metrics
         )
         self._generation = GenerationFlow(
             self.placing,
             self.slots,
+            PrefillFlow(
+                self.placing,
+                platform.dialect,
+                platform.engines,
+                estimates,
+                records,
+                metrics,
+            ),
             platform.dialect,
-            platform.engines,
             self.retries,
-            timeline,
+            records,
             metrics,
         )
         kinds = platform.documents.kinds
@@ -177,7 +190,7 @@
             ),
             self.view,
             self.placing,
-            self.slots,
+            estimates,
             self.mesh,
             platform.engines,
             timeline,
--- a/wasabimux/relay/upstreams.py
+++ b/wasabimux/relay/upstreams.py
@@ -23,6 +23,9 @@
 from wasabimux.relay.ports import EngineCall
 from wasabimux.settings.address import parse_address
 
+#: Another upstream has the address, or this one does something else.
+STATUS_MISDIRECTED = 421
+
 #: Longest wait for a connection. A call that waits longer is better off elsewhere.
 CONNECT_TIMEOUT_S = 0.25
 
@@ -107,6 +110,14 @@
             self._host, self._port = parse_address(record.address)
         self.record = record
 
+    def on_not_taken(self, status: int, now: float) -> None:
+        """Notes that it did not run a request that it should have taken."""
+        if status == STATUS_MISDIRECTED:
+            self.leaving = True
+        else:
+            # It granted a reservation and yet runs nothing, as while its phase changes.
+            self.health.rest(now)
+
     def may_send_cold(self, per_s: float, now: float) -> bool:
         """Notes a send to an upstream that may be cold; False if it is too many.
 
