--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import NamedTuple
 
@@ -259,6 +260,21 @@
     assert wanted_prefill(1, StreamCost(0.4, 0.1)) == 0
 
 
+def test_lengths_are_guessed_better_than_by_the_callers_estimate() -> None:
+    """Lengths vary about the usual, and callers' estimates about the length."""
+    rng = random.Random(1)
+    estimates = StreamEstimates()
+    errors_guess, errors_hint = [], []
+    for _ in range(2_000):
+        length = min(10_010.0, rng.lognormvariate(math.log(4_600), 0.5))
+        hint = length * rng.lognormvariate(0.0, 0.5)
+        guess = estimates.expected_tokens(int(hint), 10_010)
+        errors_guess.append(abs(math.log(guess / length)))
+        errors_hint.append(abs(math.log(hint / length)))
+        estimates.on_stream(5_000, int(length), 3.0, 2.8)
+    assert sum(errors_guess) < 0.8 * sum(errors_hint)
+
+
 def test_cached_prompts_say_nothing_of_an_engines_speed() -> None:
     """Failed first: prefills were cut after 0.2 s, as cached ones took 2 ms."""
     estimates = StreamEstimates()
--- a/wasabimux/decisions/memory_forecast.py
+++ b/wasabimux/decisions/memory_forecast.py
@@ -20,7 +20,7 @@
 FILL = 0.72
 
 #: Spread of lengths about the caller's estimate, as the deviation of the logarithm.
-LENGTH_SPREAD = 0.5
+LENGTH_SPREAD = 0.36
 
 #: No stream is expected to be shorter than this.
 MIN_LENGTH_TOKENS = 16.0
--- a/wasabimux/decisions/stream_estimates.py
+++ b/wasabimux/decisions/stream_estimates.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from wasabimux.decisions.memory_forecast import FILL
 from wasabimux.decisions.phase_plan import StreamCost
 
@@ -13,6 +15,10 @@
 FIRST_TOKENS_PER_S = 1_600.0
 FIRST_MEMORY_TOKENS = 8_000.0
 FIRST_PROMPT_TOKENS = 5_000.0
+FIRST_ANSWER_TOKENS = 4_500.0
+
+#: Weight of a caller's estimate of the length against the usual length.
+HINT_WEIGHT = 0.5
 FIRST_PREFILL_TOKENS_PER_S = 50_000.0
 
 #: Weights of a prefill that was faster or slower than expected, and the factor of the
@@ -34,6 +40,7 @@
         self.stream_s = FIRST_STREAM_S
         self.tokens_per_s = FIRST_TOKENS_PER_S
         self._memory_tokens = FIRST_MEMORY_TOKENS
+        self._log_tokens = math.log(FIRST_ANSWER_TOKENS)
         self._prompt_tokens = FIRST_PROMPT_TOKENS
         self._prefill_tokens_per_s = FIRST_PREFILL_TOKENS_PER_S
 
@@ -51,10 +58,28 @@
         memory = prompt_tokens + made_tokens / 2
         self._memory_tokens += STREAM_WEIGHT * (memory - self._memory_tokens)
         self.stream_s += STREAM_WEIGHT * (held_s - self.stream_s)
+        if made_tokens > 0:
+            difference = math.log(made_tokens) - self._log_tokens
+            self._log_tokens += STREAM_WEIGHT * difference
         if making_s > 0 and made_tokens > 0:
             speed = made_tokens / making_s
             self.tokens_per_s += STREAM_WEIGHT * (speed - self.tokens_per_s)
 
+    def expected_tokens(self, hint: int | None, max_tokens: int) -> float:
+        """Returns the expected length of an answer.
+
+        A caller's estimate and the usual length are both off by about the same factor,
+        so the best guess lies between them.
+
+        Args:
+            hint: Caller's estimate in tokens, None without one.
+            max_tokens: Most tokens of the answer.
+        """
+        usual = math.exp(self._log_tokens)
+        if hint is not None and hint > 0:
+            usual = hint**HINT_WEIGHT * usual ** (1 - HINT_WEIGHT)
+        return min(usual, float(max_tokens))
+
     def on_prefill(self, tokens: int, took_s: float) -> None:
         """Notes a prefill.
 
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -305,7 +305,12 @@
                         owner.complete = True
                         stream.slot.ended = True
                         self._records.record(
-                            request, "answered", stream.slot.upstream, events=events
+                            request,
+                            "answered",
+                            stream.slot.upstream,
+                            events=events,
+                            made_tokens=stream.slot.stream.state.made_tokens,
+                            hint_tokens=request.facts.expected_tokens,
                         )
                         return
                     try:
--- a/wasabimux/relay/slots.py
+++ b/wasabimux/relay/slots.py
@@ -325,7 +325,9 @@
     def _running(self, request: RelayRequest) -> RunningStream:
         """Returns what is expected of a stream that starts now."""
         facts = request.facts
-        expected = facts.expected_tokens or facts.output_tokens / 2
+        expected = self._estimates.expected_tokens(
+            facts.expected_tokens, facts.output_tokens
+        )
         state = StreamState(facts.prompt_tokens, 0, expected, facts.output_tokens)
         return RunningStream(state, self._estimates.tokens_per_s)
 
