--- a/wasabimux/relay/follower.py
+++ b/wasabimux/relay/follower.py
@@ -23,7 +23,7 @@
 
 #: Waits between calls while the store does not answer, with jitter below.
 FIRST_RETRY_S = 0.1
-MAX_RETRY_S = 0.8
+MAX_RETRY_S = 1.2
 
 #: Time after the store's return in which entries that lapsed may still come back.
 RETURN_S = 2.5
