Count a young peer's first charges, refused prefills, and nothing extra before all are known

Change: a peer younger than this relay or a window counts from zero; the part of the tolerance that is used falls with the number of relays; refused prefills count; a relay has no part of the extra budget before it has heard all others or 2 s have passed. The test that a peer's new life is not charged twice gave way to two that tell an older peer from a younger one.

--- a/tests/relay_fixtures.py
+++ b/tests/relay_fixtures.py
@@ -140,7 +140,9 @@
         world = RelayWorld(store, {item.id: item for item in runners}, running)
         await world.eventually(
             lambda: all(
-                relay.relay.ready and len(relay.relay.pool.by_id) == len(runners)
+                relay.relay.ready
+                and relay.relay.settled
+                and len(relay.relay.pool.by_id) == len(runners)
                 for relay in running
             )
         )
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -138,20 +138,29 @@
     assert (first.beyond_share, second.beyond_share) == (False, True)
 
 
-def test_a_peer_that_starts_anew_is_not_charged_twice() -> None:
+def test_what_an_older_peer_charged_long_ago_does_not_count() -> None:
     rules = RateRules(1_000.0, 10_000.0)
     buckets = SharedBuckets(STRICT)
-    buckets.on_peer("life-1", "ropes", 5_000.0, rules, 0.0)
+    buckets.on_peer("old", "ropes", 500_000.0, rules, 0.0, recent=False)
     level = buckets.level("ropes")
-    buckets.on_peer("life-1", "ropes", 6_000.0, rules, 0.0)
-    assert buckets.level("ropes") == level - 1_000.0
-    buckets.forget_peer("life-1")
-    buckets.on_peer("life-2", "ropes", 300.0, rules, 0.0)
+    buckets.on_peer("old", "ropes", 501_000.0, rules, 0.0, recent=False)
     assert buckets.level("ropes") == level - 1_000.0
 
 
+def test_what_a_younger_peer_charged_first_counts() -> None:
+    """Failed first: a peer's charges before its first word were never counted."""
+    rules = RateRules(1_000.0, 10_000.0)
+    buckets = SharedBuckets(STRICT)
+    buckets.on_peer("first", "ropes", 100.0, rules, 0.0)
+    level = buckets.level("ropes")
+    buckets.forget_peer("first")
+    buckets.on_peer("restarted", "ropes", 300.0, rules, 0.0)
+    assert buckets.level("ropes") == level - 300.0
+
+
 def test_retries_stay_within_the_ratio_and_the_part() -> None:
     window = RetryWindow(RetryBudget(0.2, 30.0, 10.0))
+    assert not window.try_spend(0.0)  # a relay that starts does not know its part
     window.set_members(3)
     for number in range(50):
         window.on_request(number * 0.1)
@@ -160,6 +169,38 @@
     assert window.try_spend(16.0)
 
 
+def test_refused_sends_count_against_the_budget() -> None:
+    """Failed first: prompts that engines refused to read were not counted."""
+    window = RetryWindow(RetryBudget(0.0, 2.0, 10.0))
+    window.set_members(1)
+    window.note(0.0)
+    assert [window.try_spend(1.0) for _ in range(2)] == [True, False]
+
+
+@pytest.mark.parametrize(("members", "late_steps"), [(6, 20), (23, 50)])
+def test_late_word_of_many_relays_stays_within_the_tolerance(
+    members: int, late_steps: int
+) -> None:
+    """Failed first with 23 relays, some slow, that hear of charges 0.5 s late.
+
+    The load is 7.5 times what the workspace may send.
+    """
+    rules = RateRules(27_800.0, 27_800.0)
+    replicas = [SharedBuckets(TOLERANT) for _ in range(members)]
+    for replica in replicas:
+        replica.set_silent(0, members)
+    charged = 0.0
+    for step in range(800):
+        now = step * 0.01
+        if step % late_steps == 0:
+            tell_all(replicas, rules, now)
+        replica = replicas[step % members]
+        if not replica.charge("ropes", rules, 2_000.0, now).wait_s:
+            charged += 2_000.0
+    within = rules.rate * TOLERANT.window_s + rules.burst
+    assert charged <= within * (1 + TOLERANT.share) + TOLERANT.tokens
+
+
 def test_each_service_has_a_budget_of_its_own() -> None:
     """Failed first: retries of one service used up those of the other."""
     retries = ServiceRetries(RetryBudget(0.2, 4.0, 10.0))
--- a/wasabimux/decisions/retry_window.py
+++ b/wasabimux/decisions/retry_window.py
@@ -29,11 +29,11 @@
 
     def __init__(self, budget: RetryBudget) -> None:
         self._budget = budget
-        self._members = 1
+        self._members = 0
         self._window_by_service: dict[str, RetryWindow] = {}
 
     def set_members(self, members: int) -> None:
-        """Sets the number of relays that share the budgets."""
+        """Sets the number of relays that share the budgets; 0 while unknown."""
         self._members = members
         for window in self._window_by_service.values():
             window.set_members(members)
@@ -62,11 +62,11 @@
         self._budget = budget
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
-        self._members = 1
+        self._members = 0
 
     def set_members(self, members: int) -> None:
-        """Sets the number of relays that share the budget."""
-        self._members = max(1, members)
+        """Sets the number of relays that share the budget; 0 while unknown."""
+        self._members = members
 
     def on_request(self, now: float) -> None:
         """Notes a request of a caller."""
@@ -77,12 +77,18 @@
         """Takes a retry from the budget; returns False if there is none."""
         self._forget(now)
         budget = self._budget
-        allowed = budget.ratio * len(self._requests) + budget.extra / self._members
+        allowed = budget.ratio * len(self._requests)
+        if self._members:
+            allowed += budget.extra / self._members
         if len(self._retries) + 1 > allowed:
             return False
         self._retries.append(now)
         return True
 
+    def note(self, now: float) -> None:
+        """Counts a send that turned out to be one more than the first."""
+        self._retries.append(now)
+
     def _forget(self, now: float) -> None:
         for times in (self._requests, self._retries):
             while times and times[0] < now - self._budget.window_s:
--- a/wasabimux/decisions/shared_bucket.py
+++ b/wasabimux/decisions/shared_bucket.py
@@ -15,8 +15,11 @@
 from wasabimux.decisions.rate import RateRules
 
 #: Part of the tolerance that is used. The rest covers what relays charge before they
-#: hear of one another, and what was charged before a restart.
-TOLERANCE_PART = 0.65
+#: hear of one another, which is more the more relays there are, and what was charged
+#: before a restart.
+TOLERANCE_PART = 0.8
+PART_LESS_A_RELAY = 0.025
+MIN_TOLERANCE_PART = 0.2
 
 #: Precision of a window's sum.
 BIN_S = 0.2
@@ -49,10 +52,15 @@
         """True if a workspace may use more than its bucket holds."""
         return self.share > 0 or self.tokens > 0
 
-    def allowed(self, rules: RateRules) -> float:
-        """Returns the most tokens that may be charged in one window."""
+    def allowed(self, rules: RateRules, part: float) -> float:
+        """Returns the most tokens that may be charged in one window.
+
+        Args:
+            rules: Limits of the workspace.
+            part: Part of the tolerance that is used.
+        """
         within = rules.rate * self.window_s + rules.burst
-        return within + TOLERANCE_PART * (within * self.share + self.tokens)
+        return within + part * (within * self.share + self.tokens)
 
 
 class Charge(NamedTuple):
@@ -111,6 +119,7 @@
         self._tolerance = tolerance
         self._replica_by_workspace: dict[str, _Replica] = {}
         self._silent_share = 0.0
+        self._part = MIN_TOLERANCE_PART
 
     def set_silent(self, silent_peers: int, members: int) -> None:
         """Sets aside the part of peers that may serve callers unheard.
@@ -120,6 +129,8 @@
             members: All relays, this one included.
         """
         self._silent_share = silent_peers / max(1, members)
+        part = TOLERANCE_PART - PART_LESS_A_RELAY * members
+        self._part = max(MIN_TOLERANCE_PART, part)
 
     def charge(
         self, workspace: str, rules: RateRules, tokens: float, now: float
@@ -149,7 +160,8 @@
 
     def _has_room(self, replica: _Replica, tokens: float, now: float) -> bool:
         """Tells whether the window has room, less the part of silent peers."""
-        allowed = self._tolerance.allowed(replica.rules) * (1.0 - self._silent_share)
+        allowed = self._tolerance.allowed(replica.rules, self._part)
+        allowed *= 1.0 - self._silent_share
         window_s = self._tolerance.window_s + SEND_DELAY_S
         return replica.window.sum(window_s, now) + tokens <= allowed
 
@@ -174,7 +186,13 @@
         }
 
     def on_peer(
-        self, peer: str, workspace: str, charged: float, rules: RateRules, now: float
+        self,
+        peer: str,
+        workspace: str,
+        charged: float,
+        rules: RateRules,
+        now: float,
+        recent: bool = True,
     ) -> None:
         """Takes the sum that a peer has charged.
 
@@ -184,15 +202,16 @@
             charged: Sum since the peer's start.
             rules: Limits of the workspace.
             now: Present time in s.
+            recent: True if the peer's first sum holds only what counts here: the peer
+                is younger than this relay or than a window.
         """
         replica = self._replica(workspace, rules, now)
         self._refill(replica, now)
-        before = replica.charged_by_peer.get(peer)
+        before = replica.charged_by_peer.get(peer, 0.0 if recent else charged)
         replica.charged_by_peer[peer] = charged
-        if before is not None:
-            level = replica.level - (charged - before)
-            replica.level = max(-rules.burst, min(rules.burst, level))
-            replica.window.add(charged - before, now)
+        level = replica.level - (charged - before)
+        replica.level = max(-rules.burst, min(rules.burst, level))
+        replica.window.add(charged - before, now)
 
     def forget_peer(self, peer: str) -> None:
         """Drops what is known of a peer's life that has ended."""
--- a/wasabimux/link/_relay_codec.py
+++ b/wasabimux/link/_relay_codec.py
@@ -15,6 +15,7 @@
 )
 
 RUNNING_MAX = 2**16 - 1
+AGE_MS_MAX = 2**32 - 1
 
 
 def encode_members(builder: Any, message: RelayMembers) -> None:
@@ -28,6 +29,7 @@
     """Writes what a relay uses."""
     use = builder.init("relayUse")
     use.waiting = min(message.waiting, RUNNING_MAX)
+    use.ageMs = min(round(message.age_s * 1000), AGE_MS_MAX)
     workspaces = use.init("workspaces", len(message.workspaces))
     for target, (workspace, charged) in zip(workspaces, message.workspaces):
         target.workspace = workspace
@@ -69,6 +71,7 @@
         ),
         tuple(KindRevision(part.kind, part.revision) for part in use.revisions),
         use.waiting,
+        use.ageMs / 1000,
     )
 
 
--- a/wasabimux/link/messages.py
+++ b/wasabimux/link/messages.py
@@ -266,12 +266,14 @@
         upstreams: Requests at upstreams.
         revisions: How far the sender follows the platform.
         waiting: Requests that wait for a decode slot.
+        age_s: Time since the start of the sender.
     """
 
     workspaces: tuple[WorkspaceUse, ...]
     upstreams: tuple[UpstreamUse, ...]
     revisions: tuple[KindRevision, ...]
     waiting: int
+    age_s: float
 
 
 class RelayObject(NamedTuple):
--- a/wasabimux/link/wire.capnp
+++ b/wasabimux/link/wire.capnp
@@ -175,6 +175,7 @@
   upstreams @1 :List(UpstreamUse);
   revisions @2 :List(KindRevision); # how far the sender follows the platform
   waiting @3 :UInt16;     # requests that wait for a decode slot
+  ageMs @4 :UInt32;       # time since the start of the sender
 }
 
 struct RelayObject {
--- a/wasabimux/relay/context.py
+++ b/wasabimux/relay/context.py
@@ -64,6 +64,8 @@
         tried: Upstreams that it was sent to.
         ran: Whether it has run, as far as is known.
         prefilled: Its KV cache, if one waits to be taken.
+        prefill_sent: True once an engine was asked to read its prompt; only the
+            first such call is free of the budget of retries.
         paid_retry: True if its next retry is taken from the budget already.
         answering: True once its caller has got a part of the answer.
     """
@@ -84,6 +86,7 @@
     tried: list[UpstreamId] = field(default_factory=list)
     ran: Ran = Ran.NO
     prefilled: Prefilled | None = None
+    prefill_sent: bool = False
     paid_retry: bool = False
     answering: bool = False
 
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -159,10 +159,11 @@
         Returns:
             `IP:PORT/HANDLE`, or None if the decode engine reads it by itself.
         """
-        for number in range(PREFILL_TRIES):
+        for _ in range(PREFILL_TRIES):
             engine = self._prefill.choose(request)
-            again = number > 0
-            if engine is None or (again and not self._spend_retry(request)):
+            if engine is None:
+                break
+            if request.prefill_sent and not self._spend_retry(request):
                 break
             source = await self._prefill.run(request, engine)
             if source is not None:
--- a/wasabimux/relay/prefill.py
+++ b/wasabimux/relay/prefill.py
@@ -6,6 +6,7 @@
 
 from wasabimux._clock import loop_time
 from wasabimux.adapters.relay_metrics import RelayMetrics
+from wasabimux.decisions.retry_window import ServiceRetries
 from wasabimux.decisions.stream_estimates import StreamEstimates
 from wasabimux.ports import UpstreamLost
 from wasabimux.relay.context import Prefilled, RelayRequest
@@ -33,6 +34,7 @@
         placing: Finds engines.
         dialect: Headers of requests.
         engines: Reads answers of engines.
+        retries: Budget of requests sent once more.
         estimates: What prefills take.
         records: Records decisions.
         metrics: Times prefills.
@@ -43,6 +45,7 @@
         placing: Placing,
         dialect: Dialect,
         engines: EngineDialect,
+        retries: ServiceRetries,
         estimates: StreamEstimates,
         records: RequestRecords,
         metrics: RelayMetrics,
@@ -50,6 +53,7 @@
         self._placing = placing
         self._dialect = dialect
         self._engines = engines
+        self._retries = retries
         self._estimates = estimates
         self._records = records
         self._metrics = metrics
@@ -75,6 +79,7 @@
         """
         tokens = request.facts.prompt_tokens
         started_s = loop_time()
+        request.prefill_sent = True
         engine.running += 1
         engine.prefill_tokens += tokens
         try:
@@ -95,6 +100,7 @@
         handle = self._engines.read_handle(status, body)
         if handle is None:
             engine.on_not_taken(status, loop_time())
+            self._retries.of(request.service.name).note(loop_time())
             self._records.record(request, "prefill_refused", engine, status=status)
             return None
         self._on_prefilled(request, engine, loop_time() - started_s)
--- a/wasabimux/relay/registration.py
+++ b/wasabimux/relay/registration.py
@@ -42,6 +42,7 @@
         timeline: Timeline,
         rng: random.Random,
     ) -> None:
+        self.done = False
         self._kind = kind
         self._instance = instance
         self._address = address
@@ -83,6 +84,7 @@
         for item in by_name.values():
             if isinstance(item.value, dict) and "address" in item.value:
                 self._mesh.add(str(item.value["address"]))
+        self.done = True
         self._timeline.record("registered", peers=len(by_name))
         return list(by_name.values())
 
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -46,6 +46,9 @@
 #: Time between looks at what expires by itself.
 EXPIRE_S = 0.2
 
+#: Time after a start in which a relay may not yet know all others.
+SETTLE_S = 2.0
+
 #: Kind of a request that belongs to no route.
 UNKNOWN_KIND = "unknown"
 
@@ -99,6 +102,9 @@
         self.pool = UpstreamPool()
         self.view = FleetView(platform.documents, timeline, self._on_change)
         self.server: HttpServer | None = None
+        self.settled = False
+        self._started_s = 0.0
+        self._settings = settings
         self._timeline = timeline
         self._dialect = platform.dialect
         self._buckets = SharedBuckets(
@@ -154,6 +160,7 @@
                 self.placing,
                 platform.dialect,
                 platform.engines,
+                self.retries,
                 estimates,
                 records,
                 metrics,
@@ -213,6 +220,7 @@
         runs += [self.mesh.run(), self.slots.run(), self._registration.run()]
         runs += [self._phases.run()]
         runs += [self._expire()]
+        self._started_s = loop_time()
         self._tasks = [asyncio.ensure_future(run) for run in runs]
 
     @property
@@ -295,6 +303,7 @@
             ),
             (),
             self.slots.waiting,
+            now - self._started_s,
         )
 
     def _in_touch(self) -> int:
@@ -322,13 +331,18 @@
 
     def _on_peer_use(self, life: int, use: RelayUse) -> None:
         now = loop_time()
+        window_s = self._settings.rate_window_s
+        recent = use.age_s <= max(window_s, now - self._started_s)
         for workspace, charged in use.workspaces:
             rules = self._rules_by_workspace.get(WorkspaceId(workspace))
             if rules is not None and rules.rate is not None:
-                self._buckets.on_peer(str(life), workspace, charged, rules.rate, now)
+                self._buckets.on_peer(
+                    str(life), workspace, charged, rules.rate, now, recent
+                )
         self.slots.wake()
 
     async def _expire(self) -> None:
+        started_s = loop_time()
         while True:
             began_s = loop_time()
             await asyncio.sleep(EXPIRE_S)
@@ -336,7 +350,9 @@
             self._measure(now, now - began_s - EXPIRE_S)
             self.view.expire(now)
             members = self.mesh.members()
-            self.retries.set_members(members)
+            heard_all = self._registration.done and not self.mesh.silent(now)
+            self.settled = heard_all or now - started_s > SETTLE_S
+            self.retries.set_members(members if self.settled else 0)
             self._buckets.set_silent(self.mesh.silent(now), members)
 
     def _measure(self, now: float, lag_s: float) -> None:
