--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -161,6 +161,37 @@
         assert in_window <= allowed
 
 
+@pytest.mark.parametrize("killed_s", [3.0, 5.0, 7.0])
+def test_relays_killed_at_once_do_not_let_a_window_in_twice(killed_s: float) -> None:
+    """Failed first: 635,030 tokens in 8 s around a kill of all, allowed 586,993."""
+    rules = RateRules(45_958.0, 45_958.0)
+    down_s = 1.3
+    charged: list[tuple[float, float]] = []
+    for start_s, end_s in ((-8.0, killed_s), (killed_s + down_s, 16.0)):
+        buckets = SharedBuckets(TOLERANT, start_s)
+        buckets.set_silent(0, 4)
+        for step in range(int((end_s - start_s) / 0.02)):
+            now = start_s + step * 0.02
+            if not buckets.charge("ropes", rules, 2_000.0, now).wait_s:
+                charged.append((now, 2_000.0))
+    within = rules.rate * TOLERANT.window_s + rules.burst
+    allowed = within * (1 + TOLERANT.share) + TOLERANT.tokens
+    for since, _ in charged:
+        assert sum(c for at, c in charged if since <= at < since + 8.0) <= allowed
+
+
+def test_what_is_assumed_of_the_past_hinders_nobody_within_the_share() -> None:
+    rules = RateRules(45_958.0, 45_958.0)
+    buckets = SharedBuckets(TOLERANT, 0.0)
+    buckets.set_silent(0, 4)
+    refused = [
+        step
+        for step in range(160)
+        if buckets.charge("ropes", rules, rules.rate * 0.1, step * 0.1).wait_s
+    ]
+    assert refused == []
+
+
 def test_tolerance_lets_in_and_says_so() -> None:
     rules = RateRules(1_000.0, 2_000.0)
     buckets = SharedBuckets(TOLERANT)
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -15,7 +15,7 @@
 from wasabimux.platform.documents import PlatformDocuments
 from wasabimux.platform.store import PlatformStore
 from wasabimux.ports import UpstreamLost
-from wasabimux.relay.follower import Follower
+from wasabimux.relay.follower import RETURN_S, Follower
 from wasabimux.relay.mesh import MAX_PEERS
 from wasabimux.relay.ports import ObjectChange, PlatformObject
 from wasabimux.relay.view import FleetView
@@ -340,6 +340,22 @@
     await world.eventually(lambda: "desk-1" not in relay.pool.by_id)
 
 
+async def test_an_upstream_that_leaves_after_an_outage_is_gone_at_once(
+    world: RelayWorld,
+) -> None:
+    """Failed first: for 2.5 s after an outage it was taken for a lapsed one."""
+    relay = world.relays[0].relay
+    world.store.available = False
+    await world.eventually(lambda: not any(f.reached for f in relay._followers))
+    world.store.available = True
+    await world.eventually(lambda: all(f.reached for f in relay._followers))
+    await asyncio.sleep(RETURN_S)
+    await world.store.remove("servers", "desk-1")
+    await world.eventually(lambda: "desk-1" not in relay.pool.by_id)
+    events = [event.name for event in world.relays[0].timeline.events()]
+    assert "upstream_entry_missing" not in events
+
+
 async def test_a_graceful_end_cuts_no_stream(world: RelayWorld) -> None:
     """Failed first with a short grace time: nothing was left of it after a third."""
     for name in ("dec-1", "dec-2", "dec-3"):
--- a/wasabimux/decisions/shared_bucket.py
+++ b/wasabimux/decisions/shared_bucket.py
@@ -24,6 +24,11 @@
 #: Precision of a window's sum.
 BIN_S = 0.2
 
+#: Precision of what is assumed of the time before a start, and the steps right before
+#: it for which nothing is assumed, as a start takes longer.
+ASSUMED_STEP_S = 0.5
+ASSUMED_FREE_STEPS = 3
+
 #: Least wait that a refused caller is told.
 MIN_WAIT_S = 0.1
 
@@ -129,10 +134,15 @@
 
     Args:
         tolerance: By how much limits may be exceeded.
+        started_s: When this relay started, knowing nothing of what was charged before;
+            None if nothing was.
     """
 
-    def __init__(self, tolerance: RateTolerance) -> None:
+    def __init__(
+        self, tolerance: RateTolerance, started_s: float | None = None
+    ) -> None:
         self._tolerance = tolerance
+        self._started_s = started_s
         self._replica_by_workspace: dict[str, _Replica] = {}
         self._silent_share = 0.0
         self._part = MIN_TOLERANCE_PART
@@ -243,6 +253,7 @@
         replica = self._replica_by_workspace.get(workspace)
         if replica is None:
             replica = _Replica(rules, rules.burst * FRESH_SHARE, now)
+            self._assume_past(replica)
             self._replica_by_workspace[workspace] = replica
         elif replica.rules != rules:
             self._refill(replica, now)
@@ -250,6 +261,22 @@
             replica.level = min(replica.level, rules.burst)
         return replica
 
+    def _assume_past(self, replica: _Replica) -> None:
+        """Fills the window as if the limit had been used up evenly before the start.
+
+        All relays may have been killed at once; a window that began empty would then
+        let the same requests in twice. What is assumed leaves the window second by
+        second, and the part of the last moments before the start is free at once.
+        """
+        if self._started_s is None:
+            return
+        window_s = self._tolerance.window_s
+        allowed = self._tolerance.allowed(replica.rules, self._part)
+        steps = int(window_s / ASSUMED_STEP_S)
+        for step in range(steps - 1, ASSUMED_FREE_STEPS - 1, -1):
+            at = self._started_s - step * ASSUMED_STEP_S
+            replica.window.add(allowed / steps, at)
+
     def _refill(self, replica: _Replica, now: float) -> None:
         if now > replica.filled_s:
             gained = (now - replica.filled_s) * self._rate(replica)
--- a/wasabimux/relay/follower.py
+++ b/wasabimux/relay/follower.py
@@ -25,8 +25,10 @@
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 1.2
 
-#: Time after the store's return in which entries that lapsed may still come back.
-RETURN_S = 2.5
+#: Time after the store's return in which a missing entry may be one that lapsed while
+#: the store was away, and by which such entries are back if their upstreams live.
+RETURN_S = 0.6
+LAPSED_GRACE_S = 2.2
 
 
 class Follower:
@@ -86,15 +88,15 @@
         """Makes one call and returns the revision to go on from."""
         if revision == 0:
             listed = await self._store.list(self.kind)
-            after_outage = self._on_answer()
+            keep_until_s = self._on_answer()
             self._view.apply_list(
-                self.kind, listed.objects, listed.revision, loop_time(), after_outage
+                self.kind, listed.objects, listed.revision, loop_time(), keep_until_s
             )
             return listed.revision
         found = await self._store.watch(self.kind, revision, self.watch_s())
-        after_outage = self._on_answer()
+        keep_until_s = self._on_answer()
         self._view.apply_changes(
-            self.kind, found.changes, found.revision, loop_time(), after_outage
+            self.kind, found.changes, found.revision, loop_time(), keep_until_s
         )
         return found.revision
 
@@ -105,8 +107,12 @@
         )
         return self._rng.uniform(MIN_DRAWN, 1.0) * longest_s
 
-    def _on_answer(self) -> bool:
-        """Notes an answer; returns True soon after the store was away."""
+    def _on_answer(self) -> float | None:
+        """Notes an answer.
+
+        Returns:
+            Until when missing upstreams are kept, None if the store was not away.
+        """
         now = loop_time()
         self.confirmed_s = now
         if not self._reached:
@@ -118,7 +124,9 @@
                 self._returned_s = now
             self._lost_s = None
         self._reached = True
-        return now - self._returned_s < RETURN_S
+        if now - self._returned_s >= RETURN_S:
+            return None
+        return self._returned_s + LAPSED_GRACE_S
 
     def _on_lost(self, error: StoreUnavailable) -> None:
         if self._lost_s is None:
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -118,7 +118,8 @@
         self._buckets = SharedBuckets(
             RateTolerance(
                 settings.rate_window_s, settings.rate_overage, settings.rate_slack
-            )
+            ),
+            loop_time(),
         )
         self.retries = ServiceRetries(
             RetryBudget(
--- a/wasabimux/relay/view.py
+++ b/wasabimux/relay/view.py
@@ -15,10 +15,6 @@
 from wasabimux.relay.ports import Documents, ObjectChange, PlatformObject
 from wasabimux.timeline import Timeline
 
-#: Time for which an upstream is kept whose entry vanished while the store was away.
-#: Entries that lapsed meanwhile are back within about two seconds.
-LAPSED_GRACE_S = 2.2
-
 
 class KnownObject(NamedTuple):
     """The newest that is known of an object.
@@ -70,7 +66,7 @@
         objects: Iterable[PlatformObject],
         revision: int,
         now: float,
-        after_outage: bool = False,
+        keep_until_s: float | None = None,
     ) -> None:
         """Takes all objects of a kind as of a revision of the store.
 
@@ -79,7 +75,8 @@
             objects: All objects.
             revision: Revision of the store.
             now: Present time in s.
-            after_outage: True if the store was away until a moment ago.
+            keep_until_s: Until when upstreams are kept whose entries are gone, as they
+                may only have lapsed while the store was away; None to drop them.
         """
         listed = {item.name: item for item in objects}
         changes = [ObjectChange(item, False) for item in listed.values()]
@@ -87,7 +84,7 @@
             if name not in listed and not known.deleted and known.revision <= revision:
                 gone = PlatformObject(name, revision, known.value)
                 changes.append(ObjectChange(gone, True))
-        self.apply_changes(kind, changes, revision, now, after_outage)
+        self.apply_changes(kind, changes, revision, now, keep_until_s)
 
     def apply_changes(
         self,
@@ -95,7 +92,7 @@
         changes: Iterable[ObjectChange],
         revision: int,
         now: float,
-        after_outage: bool = False,
+        keep_until_s: float | None = None,
     ) -> None:
         """Takes changes up to a revision of the store; arguments as above."""
         known = self.objects(kind)
@@ -109,7 +106,7 @@
             ):
                 continue
             known[found.name] = KnownObject(at, deleted, found.value)
-            self._apply(kind, found.name, known[found.name], now, after_outage)
+            self._apply(kind, found.name, known[found.name], keep_until_s)
             changed = True
         self.revision_by_kind[kind] = max(self.revision_by_kind.get(kind, 0), revision)
         if changed:
@@ -125,13 +122,13 @@
             self._on_change(now)
 
     def _apply(
-        self, kind: str, name: str, known: KnownObject, now: float, after_outage: bool
+        self, kind: str, name: str, known: KnownObject, keep_until_s: float | None
     ) -> None:
         kinds = self._documents.kinds
         if kind == kinds.desired_state and name == kinds.desired_state_name:
             self._apply_desired_state(known)
         elif kind == kinds.upstreams:
-            self._apply_upstream(name, known, now, after_outage)
+            self._apply_upstream(name, known, keep_until_s)
         elif kind == kinds.evacuations:
             self._apply_evacuation(FailureDomainId(name), known)
 
@@ -157,12 +154,12 @@
         )
 
     def _apply_upstream(
-        self, name: str, known: KnownObject, now: float, after_outage: bool
+        self, name: str, known: KnownObject, keep_until_s: float | None
     ) -> None:
         upstream = UpstreamId(name)
         if known.deleted:
-            if after_outage and upstream in self.upstream_by_id:
-                self._lapsed_until_s.setdefault(name, now + LAPSED_GRACE_S)
+            if keep_until_s is not None and upstream in self.upstream_by_id:
+                self._lapsed_until_s.setdefault(name, keep_until_s)
                 self._timeline.record("upstream_entry_missing", upstream=name)
             elif name not in self._lapsed_until_s:
                 self._drop_upstream(upstream, "entry_removed")
