Reserve a request's share until it has run, instead of charging and refunding

Cause: a request was charged when it was admitted and refunded when it was refused.

Change: a request reserves its tokens and they are charged once it has run or may have run; a refusal frees them at once. Relays tell one another both sums.

--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -34,8 +34,10 @@
 from wasabimux.decisions.retry_window import RetryBudget, RetryWindow, ServiceRetries
 from wasabimux.decisions.route_table import RouteTable, draw_weighted
 from wasabimux.decisions.shared_bucket import (
+    MIN_TOLERANCE_PART,
     PART_LESS_A_RELAY,
     TOLERANCE_PART,
+    BucketUse,
     RateTolerance,
     SharedBuckets,
 )
@@ -104,7 +106,7 @@
         now = step * 0.05
         if step % 2 == 0:
             tell_all(replicas, rules, now)
-        if not replicas[step % 3].charge("ropes", rules, 200.0, now).wait_s:
+        if run_at_once(replicas[step % 3], rules, 200.0, now):
             charged += 200.0
     assert charged <= rules.rate * 20.0 + rules.burst + 2 * 200.0
     assert charged >= 0.9 * rules.rate * 20.0
@@ -119,7 +121,7 @@
     charged = 0.0
     for step in range(800):
         for replica in replicas:
-            if not replica.charge("ropes", rules, 2_000.0, step * 0.01).wait_s:
+            if run_at_once(replica, rules, 2_000.0, step * 0.01):
                 charged += 2_000.0
     within = rules.rate * TOLERANT.window_s + rules.burst
     assert charged <= within * (1 + TOLERANT.share) + TOLERANT.tokens
@@ -128,39 +130,65 @@
 def test_what_did_not_run_is_given_back() -> None:
     rules = RateRules(100.0, 1_000.0)
     buckets = SharedBuckets(STRICT)
-    assert not buckets.charge("ropes", rules, 400.0, 0.0).wait_s
-    assert buckets.charge("ropes", rules, 900.0, 0.0).wait_s > 0
-    buckets.refund("ropes", 400.0, 0.0)
-    assert buckets.charged() == {"ropes": 0.0}
-    assert not buckets.charge("ropes", rules, 400.0, 0.1).wait_s
+    assert not buckets.reserve("ropes", rules, 400.0, 0.0).wait_s
+    assert buckets.reserve("ropes", rules, 900.0, 0.0).wait_s > 0
+    buckets.settle("ropes", 400.0, ran=False, now=0.0)
+    assert buckets.own_use() == {"ropes": BucketUse()}
+    assert not buckets.reserve("ropes", rules, 400.0, 0.1).wait_s
 
 
-def test_refunds_never_make_room_for_what_has_run() -> None:
+def test_refusals_never_make_room_for_what_has_run() -> None:
     """Failed first: a late refund left a window short once its charge had left it.
 
-    Every second request is refused 3 s after it was charged. A single replica hears
-    of all charges, so what runs in any window of 8 s keeps to the part in use.
+    Every second request is refused 3 s after it was admitted. A single replica hears
+    of all of them, so what runs in any window of 8 s keeps to the part in use.
     """
     rules = RateRules(16_659.0, 59_969.0)
     buckets = SharedBuckets(TOLERANT)
     buckets.set_silent(0, 6)
     ran: list[tuple[float, float]] = []
-    refunds: list[tuple[float, float]] = []
+    refused_s: list[float] = []
     for step in range(1_200):
         now = step * 0.05
-        while refunds and refunds[0][0] <= now:
-            buckets.refund("ropes", refunds.pop(0)[1], now)
-        if not buckets.charge("ropes", rules, 8_000.0, now).wait_s:
-            if step % 2:
-                refunds.append((now + 3.0, 8_000.0))
-            else:
-                ran.append((now, 8_000.0))
+        while refused_s and refused_s[0] <= now:
+            refused_s.pop(0)
+            buckets.settle("ropes", 8_000.0, ran=False, now=now)
+        if buckets.reserve("ropes", rules, 8_000.0, now).wait_s:
+            continue
+        if step % 2:
+            refused_s.append(now + 3.0)
+        else:
+            buckets.settle("ropes", 8_000.0, ran=True, now=now)
+            ran.append((now, 8_000.0))
     allowed = TOLERANT.allowed(rules, TOLERANCE_PART - 6 * PART_LESS_A_RELAY)
     for since, _ in ran:
         in_window = sum(cost for at, cost in ran if since <= at < since + 8.0)
         assert in_window <= allowed
 
 
+def test_refused_requests_leave_no_trace_in_the_window() -> None:
+    """Failed first: refusals were taken off the oldest charges and counted for 8 s."""
+    rules = RateRules(10_000.0, 10_000.0)
+    buckets = SharedBuckets(TOLERANT)
+    allowed = TOLERANT.allowed(rules, MIN_TOLERANCE_PART)
+    assert run_at_once(buckets, rules, 0.5 * allowed, 0.0)
+    assert not buckets.reserve("ropes", rules, 0.5 * allowed, 4.0).wait_s
+    buckets.settle("ropes", 0.5 * allowed, ran=False, now=5.0)
+    assert run_at_once(buckets, rules, 0.5 * allowed, 5.0)
+    assert run_at_once(buckets, rules, 0.5 * allowed, 9.0)
+
+
+def test_what_peers_have_reserved_takes_room() -> None:
+    rules = RateRules(10_000.0, 10_000.0)
+    buckets = SharedBuckets(TOLERANT)
+    allowed = TOLERANT.allowed(rules, MIN_TOLERANCE_PART)
+    use = BucketUse(reserved=0.7 * allowed)
+    buckets.on_peer("peer", "ropes", use, rules, 0.0)
+    assert buckets.reserve("ropes", rules, 0.5 * allowed, 0.1).wait_s
+    buckets.on_peer("peer", "ropes", BucketUse(), rules, 0.2)
+    assert not buckets.reserve("ropes", rules, 0.5 * allowed, 0.3).wait_s
+
+
 @pytest.mark.parametrize("killed_s", [3.0, 5.0, 7.0])
 def test_relays_killed_at_once_do_not_let_a_window_in_twice(killed_s: float) -> None:
     """Failed first: 635,030 tokens in 8 s around a kill of all, allowed 586,993."""
@@ -172,7 +200,7 @@
         buckets.set_silent(0, 4)
         for step in range(int((end_s - start_s) / 0.02)):
             now = start_s + step * 0.02
-            if not buckets.charge("ropes", rules, 2_000.0, now).wait_s:
+            if run_at_once(buckets, rules, 2_000.0, now):
                 charged.append((now, 2_000.0))
     within = rules.rate * TOLERANT.window_s + rules.burst
     allowed = within * (1 + TOLERANT.share) + TOLERANT.tokens
@@ -187,7 +215,7 @@
     refused = [
         step
         for step in range(160)
-        if buckets.charge("ropes", rules, rules.rate * 0.1, step * 0.1).wait_s
+        if not run_at_once(buckets, rules, rules.rate * 0.1, step * 0.1)
     ]
     assert refused == []
 
@@ -195,17 +223,17 @@
 def test_tolerance_lets_in_and_says_so() -> None:
     rules = RateRules(1_000.0, 2_000.0)
     buckets = SharedBuckets(TOLERANT)
-    first = buckets.charge("ropes", rules, 1_000.0, 0.0)
-    second = buckets.charge("ropes", rules, 1_000.0, 0.0)
+    first = buckets.reserve("ropes", rules, 1_000.0, 0.0)
+    second = buckets.reserve("ropes", rules, 1_000.0, 0.0)
     assert (first.beyond_share, second.beyond_share) == (False, True)
 
 
 def test_what_an_older_peer_charged_long_ago_does_not_count() -> None:
     rules = RateRules(1_000.0, 10_000.0)
     buckets = SharedBuckets(STRICT)
-    buckets.on_peer("old", "ropes", 500_000.0, rules, 0.0, recent=False)
+    buckets.on_peer("old", "ropes", BucketUse(500_000.0), rules, 0.0, recent=False)
     level = buckets.level("ropes")
-    buckets.on_peer("old", "ropes", 501_000.0, rules, 0.0, recent=False)
+    buckets.on_peer("old", "ropes", BucketUse(501_000.0), rules, 0.0, recent=False)
     assert buckets.level("ropes") == level - 1_000.0
 
 
@@ -213,10 +241,10 @@
     """Failed first: a peer's charges before its first word were never counted."""
     rules = RateRules(1_000.0, 10_000.0)
     buckets = SharedBuckets(STRICT)
-    buckets.on_peer("first", "ropes", 100.0, rules, 0.0)
+    buckets.on_peer("first", "ropes", BucketUse(100.0), rules, 0.0)
     level = buckets.level("ropes")
     buckets.forget_peer("first")
-    buckets.on_peer("restarted", "ropes", 300.0, rules, 0.0)
+    buckets.on_peer("restarted", "ropes", BucketUse(300.0), rules, 0.0)
     assert buckets.level("ropes") == level - 300.0
 
 
@@ -257,7 +285,7 @@
         if step % late_steps == 0:
             tell_all(replicas, rules, now)
         replica = replicas[step % members]
-        if not replica.charge("ropes", rules, 2_000.0, now).wait_s:
+        if run_at_once(replica, rules, 2_000.0, now):
             charged += 2_000.0
     within = rules.rate * TOLERANT.window_s + rules.burst
     assert charged <= within * (1 + TOLERANT.share) + TOLERANT.tokens
@@ -419,10 +447,20 @@
         assert 1 <= sum(item.prefill for item in engines) <= 4
 
 
+def run_at_once(
+    buckets: SharedBuckets, rules: RateRules, tokens: float, now: float
+) -> bool:
+    """Admits a request and has it run, unless it is refused."""
+    if buckets.reserve("ropes", rules, tokens, now).wait_s:
+        return False
+    buckets.settle("ropes", tokens, ran=True, now=now)
+    return True
+
+
 def tell_all(replicas: list[SharedBuckets], rules: RateRules, now: float) -> None:
     """Tells every replica what the others have charged."""
     for number, sender in enumerate(replicas):
-        for workspace, charged in sender.charged().items():
+        for workspace, use in sender.own_use().items():
             for replica in replicas:
                 if replica is not sender:
-                    replica.on_peer(str(number), workspace, charged, rules, now)
+                    replica.on_peer(str(number), workspace, use, rules, now)
--- a/wasabimux/decisions/shared_bucket.py
+++ b/wasabimux/decisions/shared_bucket.py
@@ -1,9 +1,10 @@
 """One token bucket a workspace, replicated at every relay.
 
-Each relay charges its own requests at once and tells the others the sum of what it
-has charged. So the replicas differ only by what was charged within one exchange
-interval. A relay that is out of reach may go on serving callers: its equal part of
-the rate is set aside until it is heard again.
+A request reserves its tokens when it is admitted. They are charged once it has run, or
+may have run, and are free again at once if it was refused. Each relay tells the others
+what it has charged and what is reserved, so the replicas differ only by what changed
+within one exchange interval. A relay that is out of reach may go on serving callers:
+its equal part of the rate is set aside until it is heard again.
 """
 
 from __future__ import annotations
@@ -32,8 +33,8 @@
 #: Least wait that a refused caller is told.
 MIN_WAIT_S = 0.1
 
-#: Time by which a request may be charged later than its caller sent it.
-SEND_DELAY_S = 0.3
+#: Time by which a request may be charged earlier than its upstream counts it.
+COUNT_DELAY_S = 0.3
 
 #: Part of the burst with which a replica starts that knows nothing of the past.
 FRESH_SHARE = 0.5
@@ -68,11 +69,28 @@
         return within + part * (within * self.share + self.tokens)
 
 
-class Charge(NamedTuple):
-    """What came of charging a request.
+class BucketUse(NamedTuple):
+    """What one relay has used of a workspace's share.
 
     Attributes:
-        wait_s: Time until it can be charged; 0 if it was.
+        charged: Tokens of requests that have run, since the relay's start.
+        reserved: Tokens of requests under way.
+    """
+
+    charged: float = 0.0
+    reserved: float = 0.0
+
+    @property
+    def total(self) -> float:
+        """Tokens charged and reserved."""
+        return self.charged + self.reserved
+
+
+class Reservation(NamedTuple):
+    """What came of reserving a request's tokens.
+
+    Attributes:
+        wait_s: Time until they can be reserved; 0 if they were.
         beyond_share: True if only the tolerance let it in.
     """
 
@@ -90,28 +108,12 @@
         self._sum = 0.0
 
     def add(self, tokens: float, now: float) -> None:
-        """Adds tokens; takes them back from the oldest bins if negative.
-
-        When they were charged is not known any more. Taken from newer bins they would
-        be missed once the bin of their charge has left the window.
-        """
-        if tokens < 0:
-            self._take_back(-tokens)
-        elif self._bins and now - self._bins[-1][0] < BIN_S:
+        if self._bins and now - self._bins[-1][0] < BIN_S:
             since, before = self._bins.pop()
             self._bins.append((since, before + tokens))
         else:
             self._bins.append((now, tokens))
-        self._sum += max(0.0, tokens)
-
-    def _take_back(self, tokens: float) -> None:
-        while tokens > 0 and self._bins:
-            since, held = self._bins.popleft()
-            taken = min(held, tokens)
-            tokens -= taken
-            self._sum -= taken
-            if held > taken:
-                self._bins.appendleft((since, held - taken))
+        self._sum += tokens
 
     def sum(self, window_s: float, now: float) -> float:
         while self._bins and self._bins[0][0] <= now - window_s - BIN_S:
@@ -124,9 +126,15 @@
     rules: RateRules
     level: float
     filled_s: float
-    charged: float = 0.0
+    own: BucketUse = BucketUse()
     window: _Window = field(default_factory=_Window)
-    charged_by_peer: dict[str, float] = field(default_factory=dict)
+    use_by_peer: dict[str, BucketUse] = field(default_factory=dict)
+
+    def reserved(self) -> float:
+        """Returns the tokens reserved at all relays."""
+        return self.own.reserved + sum(
+            use.reserved for use in self.use_by_peer.values()
+        )
 
 
 class SharedBuckets:
@@ -158,10 +166,10 @@
         part = TOLERANCE_PART - PART_LESS_A_RELAY * members
         self._part = max(MIN_TOLERANCE_PART, part)
 
-    def charge(
+    def reserve(
         self, workspace: str, rules: RateRules, tokens: float, now: float
-    ) -> Charge:
-        """Charges a request if its window has room.
+    ) -> Reservation:
+        """Reserves a request's tokens if its window has room.
 
         The bucket tells whether the workspace is within its share; relays that cannot
         hear one another would each grant a burst, so the window has the last word.
@@ -178,36 +186,49 @@
         within = missing <= 0 or self._tolerance.is_given
         if not within or not self._has_room(replica, tokens, now):
             wait_s = max(MIN_WAIT_S, missing / max(1e-9, self._rate(replica)))
-            return Charge(wait_s)
+            return Reservation(wait_s)
         replica.level = max(-rules.burst, replica.level - tokens)
-        replica.charged += tokens
-        replica.window.add(tokens, now)
-        return Charge(beyond_share=missing > 0)
+        charged, reserved = replica.own
+        replica.own = BucketUse(charged, reserved + tokens)
+        return Reservation(beyond_share=missing > 0)
+
+    def settle(self, workspace: str, tokens: float, ran: bool, now: float) -> None:
+        """Ends a reservation.
+
+        Args:
+            workspace: Workspace of the request.
+            tokens: What was reserved.
+            ran: True if the request has run or may have run.
+            now: Present time in s.
+        """
+        replica = self._replica_by_workspace.get(workspace)
+        if replica is None:
+            return
+        charged, reserved = replica.own
+        if ran:
+            replica.own = BucketUse(charged + tokens, reserved - tokens)
+            replica.window.add(tokens, now)
+        else:
+            replica.own = BucketUse(charged, reserved - tokens)
+            replica.level = min(replica.rules.burst, replica.level + tokens)
 
     def _has_room(self, replica: _Replica, tokens: float, now: float) -> bool:
         """Tells whether the window has room, less the part of silent peers."""
         allowed = self._tolerance.allowed(replica.rules, self._part)
         allowed *= 1.0 - self._silent_share
-        window_s = self._tolerance.window_s + SEND_DELAY_S
-        return replica.window.sum(window_s, now) + tokens <= allowed
-
-    def refund(self, workspace: str, tokens: float, now: float) -> None:
-        """Gives back what a request was charged that did not run."""
-        replica = self._replica_by_workspace.get(workspace)
-        if replica is not None:
-            replica.level = min(replica.rules.burst, replica.level + tokens)
-            replica.charged -= tokens
-            replica.window.add(-tokens, now)
+        window_s = self._tolerance.window_s + COUNT_DELAY_S
+        used = replica.window.sum(window_s, now) + replica.reserved()
+        return used + tokens <= allowed
 
     def level(self, workspace: str) -> float:
         """Returns the tokens that a workspace had left when it was last charged."""
         replica = self._replica_by_workspace.get(workspace)
         return 0.0 if replica is None else replica.level
 
-    def charged(self) -> dict[str, float]:
-        """Returns the sums that this relay has charged, for its peers."""
+    def own_use(self) -> dict[str, BucketUse]:
+        """Returns what this relay has used, for its peers."""
         return {
-            workspace: replica.charged
+            workspace: replica.own
             for workspace, replica in self._replica_by_workspace.items()
         }
 
@@ -215,17 +236,17 @@
         self,
         peer: str,
         workspace: str,
-        charged: float,
+        use: BucketUse,
         rules: RateRules,
         now: float,
         recent: bool = True,
     ) -> None:
-        """Takes the sum that a peer has charged.
+        """Takes what a peer has used.
 
         Args:
             peer: The peer in its present life; sums start anew with each life.
-            workspace: Workspace charged.
-            charged: Sum since the peer's start.
+            workspace: Workspace used.
+            use: What it has used.
             rules: Limits of the workspace.
             now: Present time in s.
             recent: True if the peer's first sum holds only what counts here: the peer
@@ -233,16 +254,17 @@
         """
         replica = self._replica(workspace, rules, now)
         self._refill(replica, now)
-        before = replica.charged_by_peer.get(peer, 0.0 if recent else charged)
-        replica.charged_by_peer[peer] = charged
-        level = replica.level - (charged - before)
+        unknown = BucketUse() if recent else BucketUse(use.charged)
+        before = replica.use_by_peer.get(peer, unknown)
+        replica.use_by_peer[peer] = use
+        level = replica.level - (use.total - before.total)
         replica.level = max(-rules.burst, min(rules.burst, level))
-        replica.window.add(charged - before, now)
+        replica.window.add(use.charged - before.charged, now)
 
     def forget_peer(self, peer: str) -> None:
         """Drops what is known of a peer's life that has ended."""
         for replica in self._replica_by_workspace.values():
-            replica.charged_by_peer.pop(peer, None)
+            replica.use_by_peer.pop(peer, None)
 
     def keep_only(self, workspaces: set[str]) -> None:
         """Drops the replicas of workspaces that no longer exist."""
--- a/wasabimux/link/_relay_codec.py
+++ b/wasabimux/link/_relay_codec.py
@@ -31,9 +31,8 @@
     use.waiting = min(message.waiting, RUNNING_MAX)
     use.ageMs = min(round(message.age_s * 1000), AGE_MS_MAX)
     workspaces = use.init("workspaces", len(message.workspaces))
-    for target, (workspace, charged) in zip(workspaces, message.workspaces):
-        target.workspace = workspace
-        target.charged = charged
+    for target, share in zip(workspaces, message.workspaces):
+        target.workspace, target.charged, target.reserved = share
     upstreams = use.init("upstreams", len(message.upstreams))
     for target, part in zip(upstreams, message.upstreams):
         upstream, running, tokens, target.changing = part
@@ -64,7 +63,10 @@
     """Reads what a relay uses."""
     use = item.relayUse
     return RelayUse(
-        tuple(WorkspaceUse(part.workspace, part.charged) for part in use.workspaces),
+        tuple(
+            WorkspaceUse(part.workspace, part.charged, part.reserved)
+            for part in use.workspaces
+        ),
         tuple(
             UpstreamUse(part.upstream, part.running, tuple(part.tokens), part.changing)
             for part in use.upstreams
--- a/wasabimux/link/messages.py
+++ b/wasabimux/link/messages.py
@@ -223,10 +223,17 @@
 
 
 class WorkspaceUse(NamedTuple):
-    """Tokens that a relay has charged to a workspace since its start."""
+    """Tokens that a relay has used of a workspace's share.
+
+    Attributes:
+        workspace: Identity of the workspace.
+        charged: Tokens of requests that have run, since the sender's start.
+        reserved: Tokens of requests under way.
+    """
 
     workspace: str
     charged: float
+    reserved: float
 
 
 class UpstreamUse(NamedTuple):
@@ -262,7 +269,7 @@
     """What a relay uses at present; sent at short intervals.
 
     Attributes:
-        workspaces: Sums charged.
+        workspaces: What it uses of their shares.
         upstreams: Requests at upstreams.
         revisions: How far the sender follows the platform.
         waiting: Requests that wait for a decode slot.
--- a/wasabimux/link/wire.capnp
+++ b/wasabimux/link/wire.capnp
@@ -156,6 +156,7 @@
 struct WorkspaceUse {
   workspace @0 :Text;
   charged @1 :Float64;    # tokens since the start of the sender
+  reserved @2 :Float64;   # tokens of requests under way
 }
 
 struct UpstreamUse {
--- a/wasabimux/relay/admission.py
+++ b/wasabimux/relay/admission.py
@@ -7,7 +7,7 @@
 from wasabimux.adapters.http_server import HttpRequest
 from wasabimux.decisions.route_table import draw_weighted
 from wasabimux.decisions.shared_bucket import SharedBuckets
-from wasabimux.errors import ErrorCode, Refusal, RefusedError
+from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError
 from wasabimux.ids import RequestId
 from wasabimux.relay.context import RETURN_S, RelayRequest
 from wasabimux.relay.model import (
@@ -88,14 +88,14 @@
             request.arrived_s + left_s,
         )
         if workspace is not None:
-            self._charge(admitted, workspace, now)
+            self._reserve(admitted, workspace, now)
         return admitted
 
-    def refund(self, request: RelayRequest, now: float) -> None:
-        """Gives back what a request was charged that did not run."""
-        if request.workspace is not None and request.charged:
-            self._buckets.refund(request.workspace, request.charged, now)
-            request.charged = 0.0
+    def settle(self, request: RelayRequest, now: float) -> None:
+        """Charges an admitted request if it ran or may have run."""
+        if request.workspace is not None and request.reserved:
+            ran = request.ran is not Ran.NO
+            self._buckets.settle(request.workspace, request.reserved, ran, now)
 
     def _route(self, request: HttpRequest, facts: RequestFacts) -> RelayRoute:
         host = (request.header(b"host") or b"").decode("latin-1")
@@ -123,7 +123,7 @@
             )
         return service
 
-    def _charge(
+    def _reserve(
         self, request: RelayRequest, workspace: WorkspaceRules, now: float
     ) -> None:
         if workspace.rate is None:
@@ -134,8 +134,8 @@
             cost = workspace.plain_cost
             if facts.counts_tokens:
                 cost = float(facts.prompt_tokens + facts.output_tokens)
-        charge = self._buckets.charge(workspace.id, workspace.rate, cost, now)
-        if charge.wait_s > 0:
+        reserved = self._buckets.reserve(workspace.id, workspace.rate, cost, now)
+        if reserved.wait_s > 0:
             self._timeline.record(
                 "share_used_up",
                 facts.id,
@@ -144,17 +144,17 @@
                 rate=workspace.rate.rate,
                 burst=workspace.rate.burst,
                 level=round(self._buckets.level(workspace.id)),
-                charged_here=round(self._buckets.charged()[workspace.id]),
-                wait_s=round(charge.wait_s, 3),
+                used_here=round(self._buckets.own_use()[workspace.id].total),
+                wait_s=round(reserved.wait_s, 3),
             )
             raise _refused(
                 facts.id,
                 ErrorCode.RATE_LIMITED,
                 "the workspace has used up its share",
-                min(MAX_RETRY_AFTER_S, charge.wait_s),
+                min(MAX_RETRY_AFTER_S, reserved.wait_s),
             )
-        request.charged = cost
-        request.beyond_share = charge.beyond_share
+        request.reserved = cost
+        request.beyond_share = reserved.beyond_share
 
 
 def _refused(
--- a/wasabimux/relay/context.py
+++ b/wasabimux/relay/context.py
@@ -58,7 +58,7 @@
         drop_key: True where no upstream may see the Authorization header.
         arrived_s: Loop time of its arrival.
         deadline_s: Loop time at which it ends.
-        charged: Tokens charged to the workspace.
+        reserved: Tokens reserved of the workspace's share.
         beyond_share: True if the workspace has used up its share, and only the
             tolerance of its limit let the request in.
         tried: Upstreams that it was sent to.
@@ -81,7 +81,7 @@
     drop_key: bool
     arrived_s: float
     deadline_s: float
-    charged: float = 0.0
+    reserved: float = 0.0
     beyond_share: bool = False
     tried: list[UpstreamId] = field(default_factory=list)
     ran: Ran = Ran.NO
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -17,7 +17,7 @@
 )
 from wasabimux.adapters.relay_metrics import RelayMetrics
 from wasabimux.decisions.retry_window import RetryBudget, ServiceRetries
-from wasabimux.decisions.shared_bucket import RateTolerance, SharedBuckets
+from wasabimux.decisions.shared_bucket import BucketUse, RateTolerance, SharedBuckets
 from wasabimux.decisions.stream_estimates import StreamEstimates
 from wasabimux.entry.peers import PeerLinks
 from wasabimux.errors import Ran, Refusal, RefusedError
@@ -259,10 +259,10 @@
         try:
             response = await self._serve(admitted)
         except RefusedError as error:
-            if admitted.ran is Ran.NO:
-                self._admission.refund(admitted, loop_time())
             self._count(kind, error.refusal, request.arrived_s)
             raise
+        finally:
+            self._admission.settle(admitted, loop_time())
         return self._counted(response, kind, request.arrived_s)
 
     def _counted(
@@ -296,8 +296,8 @@
         now = loop_time()
         return RelayUse(
             tuple(
-                WorkspaceUse(workspace, charged)
-                for workspace, charged in self._buckets.charged().items()
+                WorkspaceUse(workspace, *share)
+                for workspace, share in self._buckets.own_use().items()
             ),
             tuple(
                 UpstreamUse(
@@ -341,11 +341,11 @@
         now = loop_time()
         window_s = self._settings.rate_window_s
         recent = use.age_s <= max(window_s, now - self._started_s)
-        for workspace, charged in use.workspaces:
+        for workspace, *share in use.workspaces:
             rules = self._rules_by_workspace.get(WorkspaceId(workspace))
             if rules is not None and rules.rate is not None:
                 self._buckets.on_peer(
-                    str(life), workspace, charged, rules.rate, now, recent
+                    str(life), workspace, BucketUse(*share), rules.rate, now, recent
                 )
         self.slots.wake()
 
