Move running streams off engines whose memory is about to run out

Cause: relays fill an engine at the same moment, each hearing of the others some 30 ms late.

Lengths: the estimate's spread is as forecasts assume.

Change: the relay with the most at an engine above 0.93 of its memory moves its largest stream that fits elsewhere: the engine stops it, copies its memory, and the stream goes on there after the last event. Only streams that may be resumed, so that a failed move ends like a broken stream.

--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -12,11 +12,13 @@
 
 from tests.relay_fixtures import KEY, RelayWorld, desired_state, relay_world
 from wasabimux.adapters.http_client import ClientConnection, HttpClient
+from wasabimux.decisions import relief
 from wasabimux.platform.documents import PlatformDocuments
 from wasabimux.platform.store import PlatformStore
 from wasabimux.ports import UpstreamLost
 from wasabimux.relay.follower import RETURN_S, Follower
 from wasabimux.relay.mesh import MAX_PEERS
+from wasabimux.relay.moves import LOOK_S
 from wasabimux.relay.ports import ObjectChange, PlatformObject
 from wasabimux.relay.view import FleetView
 from wasabimux.timeline import Timeline
@@ -124,6 +126,55 @@
     assert resumed and set(resumed) == {b"2"}
 
 
+@pytest.mark.parametrize("no_copies", [False, True])
+async def test_streams_move_off_full_engines_and_stay_whole(
+    world: RelayWorld, monkeypatch: pytest.MonkeyPatch, no_copies: bool
+) -> None:
+    """Every engine counts as full, so the stream moves again and again."""
+    monkeypatch.setattr(relief, "RELIEF_PART", 0.0)
+    for name in ("dec-1", "dec-2", "dec-3"):
+        world.runners[name].events = 60
+        world.runners[name].troubles.no_copies = no_copies
+    async with await world.request("/gen/1", wasabimux_token_count=TOKENS) as answer:
+        assert await answer.body() == whole_stream(60)
+    runs = [run for runner in world.runners.values() for run in runner.runs]
+    assert len(runs) > 2
+    assert all(b"wasabimux-kv-source" in run.headers for run in runs)
+    assert sum(b"wasabimux-kv-hold" in run.headers for run in runs) == 1
+    relay = world.relays[0].relay
+    assert all(item.running == 0 for item in relay.pool.by_id.values())
+    assert all(not item.streams for item in relay.pool.by_id.values())
+    assert relay.retries.of("engines").try_spend(0.0)  # moves spend no retries
+
+
+async def test_a_caller_that_leaves_a_moving_stream_frees_both_engines(
+    world: RelayWorld, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(relief, "RELIEF_PART", 0.0)
+    for name in ("dec-1", "dec-2", "dec-3"):
+        world.runners[name].events = 300
+    answer = await world.request("/gen/1", wasabimux_token_count=TOKENS)
+    await asyncio.sleep(3.5 * LOOK_S)
+    answer.close()
+    relay = world.relays[0].relay
+    await world.eventually(
+        lambda: all(
+            item.running == 0 and not item.streams for item in relay.pool.by_id.values()
+        )
+    )
+
+
+async def test_a_stream_that_may_not_resume_does_not_move(
+    world: RelayWorld, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(relief, "RELIEF_PART", 0.0)
+    for name in ("dec-1", "dec-2", "dec-3"):
+        world.runners[name].events = 30
+    async with await world.request("/once/1", wasabimux_token_count=TOKENS) as answer:
+        assert await answer.body() == whole_stream(30)
+    assert len([run for item in world.runners.values() for run in item.runs]) == 1
+
+
 async def test_a_stream_that_may_not_resume_is_cut(world: RelayWorld) -> None:
     for name in ("dec-1", "dec-2", "dec-3"):
         world.runners[name].troubles.cut_after = 2
--- /dev/null
+++ b/tests/test_relief.py
@@ -0,0 +1,152 @@
+"""Streams that move before an engine's memory runs out."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+import pytest
+
+from wasabimux.decisions.decode_queue import EngineRoom, roomier_of_two
+from wasabimux.decisions.memory_forecast import (
+    Forecast,
+    StreamState,
+    forecast,
+    total,
+)
+from wasabimux.decisions.relief import MovableStream, StreamMove, next_move, runs_full
+from wasabimux.ids import UpstreamId
+
+MEMORY_TOKENS = 87_238
+SLOTS = 16
+TOKENS_PER_S = 1_600.0
+STEP_S = 0.05
+
+#: Steps after which relays hear of one another's streams.
+LATE_STEPS = 3
+
+
+@dataclass(slots=True, eq=False)
+class Stream:
+    """A stream of the load."""
+
+    state: StreamState
+    length: float
+    relay: int
+
+    def forecast(self) -> Forecast:
+        """Returns what its relay expects of it."""
+        return forecast(self.state, TOKENS_PER_S)
+
+
+def room(name: str, used: Forecast, running: int = 0) -> EngineRoom:
+    """Returns the room of an engine."""
+    return EngineRoom(UpstreamId(name), MEMORY_TOKENS, used, SLOTS - running, True)
+
+
+def flat(tokens: float) -> Forecast:
+    """Returns a forecast that stays the same."""
+    return (tokens,) * 7
+
+
+def test_the_largest_stream_that_fits_moves_to_the_roomiest() -> None:
+    streams = [
+        MovableStream(1, flat(6_000.0)),
+        MovableStream(2, flat(9_000.0)),
+        MovableStream(3, flat(30_000.0)),
+    ]
+    others = [room("tight", flat(75_000.0)), room("roomy", flat(60_000.0))]
+    assert next_move(streams, others) == StreamMove(2, UpstreamId("roomy"))
+
+
+def test_nothing_moves_where_there_is_no_room() -> None:
+    streams = [MovableStream(1, flat(6_000.0))]
+    assert next_move(streams, [room("full", flat(80_000.0))]) is None
+    assert next_move(streams, [room("slots", flat(0.0), SLOTS)]) is None
+    assert next_move(streams, []) is None
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_moves_keep_engines_from_running_out_of_memory(seed: int) -> None:
+    """Six relays fill six engines, each hearing 0.15 s late what the others took."""
+    without = overflows(seed, moves=False)
+    with_moves = overflows(seed, moves=True)
+    assert without > 20
+    assert with_moves < without / 5
+
+
+def overflows(seed: int, moves: bool) -> int:
+    """Plays 60 s of a load that keeps all engines full; counts engines out of memory.
+
+    Streams arrive faster than they can be served, and their lengths are known only
+    roughly, as with callers' estimates.
+    """
+    rng = random.Random(seed)
+    by_engine: dict[str, list[Stream]] = {f"engine-{n}": [] for n in range(6)}
+    told: list[dict[str, list[Stream]]] = []
+    count = 0
+    for _ in range(1_200):
+        for streams in by_engine.values():
+            grow(streams)
+        told.append({name: list(streams) for name, streams in by_engine.items()})
+        late = told[-min(len(told), LATE_STEPS)]
+        for relay in range(6):
+            admit(by_engine, late, relay, rng)
+        if moves:
+            relieve(by_engine)
+        count += sum(used(streams) > MEMORY_TOKENS for streams in by_engine.values())
+    return count
+
+
+def used(streams: list[Stream]) -> float:
+    """Returns the memory that streams take now."""
+    return sum(item.state.prompt_tokens + item.state.made_tokens for item in streams)
+
+
+def grow(streams: list[Stream]) -> None:
+    """Makes the tokens of one step; drops the streams that end."""
+    for stream in streams:
+        made = stream.state.made_tokens + int(TOKENS_PER_S * STEP_S)
+        stream.state = stream.state._replace(made_tokens=made)
+    streams[:] = [item for item in streams if item.state.made_tokens < item.length]
+
+
+def admit(
+    by_engine: dict[str, list[Stream]],
+    late: dict[str, list[Stream]],
+    relay: int,
+    rng: random.Random,
+) -> None:
+    """Has a relay admit a stream where it believes that there is room."""
+    length = min(10_000.0, rng.lognormvariate(8.4, 0.5))
+    hint = length * rng.lognormvariate(0.0, 0.36)
+    state = StreamState(rng.randint(2_000, 9_000), 0, hint, 10_000)
+    stream = Stream(state, length, relay)
+    rooms = []
+    for name, streams in by_engine.items():
+        known = [item for item in streams if item.relay == relay]
+        known += [item for item in late[name] if item.relay != relay]
+        rooms.append(room(name, total([s.forecast() for s in known]), len(known)))
+    chosen = roomier_of_two(rooms, stream.forecast(), rng)
+    if chosen is not None:
+        by_engine[chosen.upstream].append(stream)
+
+
+def relieve(by_engine: dict[str, list[Stream]]) -> None:
+    """Moves one stream off each engine that runs full."""
+    for name, streams in by_engine.items():
+        full = room(name, total([item.forecast() for item in streams]))
+        if not runs_full(full):
+            continue
+        movable = [
+            MovableStream(number, item.forecast())
+            for number, item in enumerate(streams)
+        ]
+        others = [
+            room(other, total([item.forecast() for item in there]), len(there))
+            for other, there in by_engine.items()
+            if other != name
+        ]
+        move = next_move(movable, others)
+        if move is not None:
+            by_engine[move.to].append(streams.pop(move.number))
--- a/wasabimux/platform/engine.py
+++ b/wasabimux/platform/engine.py
@@ -5,14 +5,20 @@
 import json
 from typing import Any
 
+from wasabimux.ids import RequestId
 from wasabimux.platform.headers import EXPECT_INSTANCE
 from wasabimux.ports import Headers
-from wasabimux.relay.ports import EngineCall, EngineReport, PhaseOrder
+from wasabimux.relay.ports import (
+    EngineCall,
+    EngineReport,
+    PhaseOrder,
+    StoppedStream,
+)
 
 JSON_HEADERS: Headers = [(b"content-type", b"application/json")]
 
-ORDER_ACCEPTED = 202
-ORDER_HOLDS = 200
+STATUS_OK = 200
+STATUS_NO_ROOM = 503
 
 
 class PlatformEngines:
@@ -40,6 +46,23 @@
         """Frees the KV cache of a prefill."""
         return EngineCall("DELETE", f"/v1/kv-handle/{handle}", [], b"")
 
+    def move(self, request: RequestId, to: str) -> EngineCall:
+        """Stops a running stream and copies its memory to another engine."""
+        return _post("/v1/kv-move", {"id": request, "to": to, "last": True})
+
+    def read_move(self, status: int, body: bytes) -> StoppedStream | None:
+        """Returns the stopped stream, None if it runs on or has ended.
+
+        An engine that could not copy the memory has stopped the stream all the same,
+        and says so by a handle.
+        """
+        if status not in (STATUS_OK, STATUS_NO_ROOM):
+            return None
+        handle = _json_object(body).get("kvHandle")
+        if not isinstance(handle, str):
+            return None
+        return StoppedStream(handle, status == STATUS_OK)
+
     def order(self, order: PhaseOrder) -> EngineCall:
         """Orders an engine to change its phase."""
         call = _post(
@@ -79,8 +102,11 @@
 
 def _object(status: int, body: bytes) -> dict[str, Any]:
     """Returns the JSON object of a good answer, else an empty one."""
-    if status != 200:
-        return {}
+    return _json_object(body) if status == STATUS_OK else {}
+
+
+def _json_object(body: bytes) -> dict[str, Any]:
+    """Returns a JSON object, an empty one where there is none."""
     try:
         value = json.loads(body)
     except ValueError:
--- a/wasabimux/platform/standins/runner.py
+++ b/wasabimux/platform/standins/runner.py
@@ -53,6 +53,7 @@
             whole answers.
         delay_s: Time before each answer.
         no_holds: True to refuse reservations.
+        no_copies: True to stop streams that should move without copying their memory.
     """
 
     full: bool = False
@@ -61,6 +62,7 @@
     cut_after: int | None = None
     delay_s: float = 0.0
     no_holds: bool = False
+    no_copies: bool = False
 
 
 @dataclass(slots=True)
@@ -100,6 +102,7 @@
         self.troubles = RunnerTroubles()
         self.state = _State()
         self._broken_off: list[RunRecord] = []
+        self._moved_off: list[RunRecord] = []
         self._numbers = itertools.count(1)
         self._server = HttpServer(self._handle)
 
@@ -158,6 +161,8 @@
             hold = f"hold-{next(self._numbers)}"
             state.holds.add(hold)
             return json_response(200, {"hold": hold})
+        if request.path == "/v1/kv-move":
+            return self._move(json.loads(body)["id"])
         if request.path == "/v1/order":
             state.orders.append(json.loads(body))
             self.phase = state.orders[-1]["phase"]
@@ -170,6 +175,18 @@
         (state.holds if kind == "hold-drop" else state.handles).discard(name)
         return json_response(200, {})
 
+    def _move(self, request_id: str) -> HttpResponse:
+        """Stops a stream; its memory stays until it goes on."""
+        for record in self.runs:
+            if record.request_id == request_id and not record.ended:
+                if record not in self._moved_off:
+                    self._moved_off.append(record)
+                    handle = f"handle-{next(self._numbers)}"
+                    self.state.handles.add(handle)
+                    status = 503 if self.troubles.no_copies else 200
+                    return json_response(status, {"kvHandle": handle, "created": 0})
+        return json_response(404, {})
+
     async def _run(self, headers: dict[bytes, bytes], body: bytes) -> HttpResponse:
         record = RunRecord(headers[names.REQUEST_ID].decode(), headers, body)
         if headers.get(names.STAGE) == b"prefill":
@@ -209,6 +226,8 @@
             if cut or record in self._broken_off:
                 yield b"id: 99\ndata: torn"
                 raise refused(ErrorCode.CANCELLED, "the runner breaks off")
+            if record in self._moved_off:
+                raise refused(ErrorCode.CANCELLED, "the stream goes on elsewhere")
             yield f"id: {number}\ndata: token-{number}\n\n".encode()
             await asyncio.sleep(EVENT_S)
         record.ended = True
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -16,6 +16,7 @@
 from wasabimux.ports import UpstreamLost
 from wasabimux.relay._events import EventSplitter, ServerEvent
 from wasabimux.relay.context import Prefilled, RelayRequest
+from wasabimux.relay.moves import Moved, StreamMoves
 from wasabimux.relay.placing import Placing
 from wasabimux.relay.ports import Dialect
 from wasabimux.relay.prefill import PrefillFlow
@@ -60,12 +61,32 @@
     ended: bool = False
 
 
+@dataclass(slots=True)
+class _Progress:
+    """What a stream's caller has got.
+
+    Attributes:
+        last_id: Number of the last event, None before the first.
+        events: Events passed on.
+    """
+
+    last_id: int | None
+    events: int = 0
+
+    def on_event(self, event: ServerEvent) -> None:
+        """Notes an event that is passed on."""
+        self.events += 1
+        if event.id is not None:
+            self.last_id = event.id
+
+
 class GenerationFlow:
     """Takes streams through prefill and decode engines.
 
     Args:
         placing: Finds engines.
         slots: Reserves decode slots.
+        moves: Moves streams off engines whose memory runs out.
         prefill: Has prompts read.
         dialect: Headers of requests and answers.
         retries: Budget of requests sent once more.
@@ -77,6 +98,7 @@
         self,
         placing: Placing,
         slots: SlotDesk,
+        moves: StreamMoves,
         prefill: PrefillFlow,
         dialect: Dialect,
         retries: ServiceRetries,
@@ -88,6 +110,7 @@
         self._metrics = metrics
         self._placing = placing
         self._slots = slots
+        self._moves = moves
         self._dialect = dialect
         self._retries = retries
 
@@ -186,11 +209,23 @@
             )
         request.tried.append(engine.id)
         slot.used = True
+        stream = await self._start(request, slot, source, after)
+        slot.on_first_event(loop_time())
+        first_ms = round((loop_time() - request.arrived_s) * 1000)
+        self._metrics.on_step("first_event", first_ms / 1000)
+        self._records.record(request, "first_event", engine, first_ms=first_ms)
+        return stream
+
+    async def _start(
+        self, request: RelayRequest, slot: Slot, source: str | None, after: int | None
+    ) -> _Stream:
+        """Sends the request to the engine of a slot; returns at the first event."""
+        engine = slot.upstream
         prefilled, request.prefilled = request.prefilled, None
         before, request.ran = request.ran, Ran.UNKNOWN
         try:
             options = request.send_options(engine.id, loop_time())._replace(
-                kv_source=source, hold=slot.hold, last_event_id=after
+                kv_source=source, hold=slot.hold or None, last_event_id=after
             )
             headers = self._dialect.request_headers(request.headers, options)
             sending = engine.send(request.method, request.target, headers, request.body)
@@ -247,11 +282,7 @@
             raise request.refusal(
                 ErrorCode.UPSTREAM_LOST, "the engine was lost"
             ) from error
-        slot.on_first_event(loop_time())
-        first_ms = round((loop_time() - request.arrived_s) * 1000)
         engine.health.on_answer(0.0, loop_time())
-        self._metrics.on_step("first_event", first_ms / 1000)
-        self._records.record(request, "first_event", engine, first_ms=first_ms)
         return stream
 
     async def _unless_stalled(
@@ -288,46 +319,85 @@
         self, request: RelayRequest, owner: _StreamOwner
     ) -> AsyncGenerator[bytes, None]:
         """Yields the events; goes on at another engine where that is allowed."""
-        last_id = request.facts.last_event_id
-        events = 0
+        progress = _Progress(request.facts.last_event_id)
         try:
             async with request.scope():
                 while True:
-                    stream = owner.stream
-                    for event in stream.ready:
-                        if event.id is not None:
-                            last_id = event.id
-                        events += 1
-                        stream.slot.on_events(events)
-                        request.answering = True
-                        yield event.data
-                    stream.ready = []
-                    if stream.ended:
-                        owner.complete = True
-                        stream.slot.ended = True
-                        self._records.record(
-                            request,
-                            "answered",
-                            stream.slot.upstream,
-                            events=events,
-                            made_tokens=stream.slot.stream.state.made_tokens,
-                            hint_tokens=request.facts.expected_tokens,
-                        )
+                    stream, lost = owner.stream, None
+                    with self._moves.movable(request, stream.slot) as moving:
+                        try:
+                            async for data in self._events(request, stream, progress):
+                                yield data
+                        except UpstreamLost as error:
+                            lost = error
+                        moved = await moving.outcome()
+                    if moved is None and lost is None:
+                        self._on_ended(request, stream, progress)
                         return
-                    try:
-                        await self._unless_stalled(request, self._read(stream))
-                    except UpstreamLost as error:
-                        self._on_cut(request, stream, events, error)
-                        owner.close_stream()
-                        owner.stream = await self._resume(request, last_id)
+                    owner.close_stream()
+                    if moved is not None:
+                        owner.stream = await self._go_on(request, moved, progress)
+                    else:
+                        self._on_cut(request, stream, progress, lost)
+                        owner.stream = await self._resume(request, progress.last_id)
         except TimeoutError:
             self._records.record(
-                request, "answer_cut", reason="deadline", events=events
+                request, "answer_cut", reason="deadline", events=progress.events
             )
             raise request.refusal(
                 ErrorCode.DEADLINE, "the time of the request is over"
             ) from None
 
+    async def _events(
+        self, request: RelayRequest, stream: _Stream, progress: _Progress
+    ) -> AsyncGenerator[bytes, None]:
+        """Yields the events of one engine.
+
+        Raises:
+            UpstreamLost: The engine broke off, or is silent and another may go on.
+        """
+        while True:
+            for event in stream.ready:
+                progress.on_event(event)
+                stream.slot.on_events(progress.events)
+                request.answering = True
+                yield event.data
+            stream.ready = []
+            if stream.ended:
+                return
+            await self._unless_stalled(request, self._read(stream))
+
+    def _on_ended(
+        self, request: RelayRequest, stream: _Stream, progress: _Progress
+    ) -> None:
+        stream.slot.ended = True
+        self._records.record(
+            request,
+            "answered",
+            stream.slot.upstream,
+            events=progress.events,
+            made_tokens=stream.slot.stream.state.made_tokens,
+            hint_tokens=request.facts.expected_tokens,
+        )
+
+    async def _go_on(
+        self, request: RelayRequest, moved: Moved, progress: _Progress
+    ) -> _Stream:
+        """Goes on where a stream's memory was moved to."""
+        slot = moved.slot
+        try:
+            if self._placing.may_take(slot.upstream):
+                source, after = moved.kv_source, progress.last_id
+                return await self._start(request, slot, source, after)
+        except RefusedError as error:
+            reason = error.refusal.message
+            self._records.record(request, "move_failed", slot.upstream, reason=reason)
+        except BaseException:
+            self._slots.release(slot, loop_time())
+            raise
+        self._slots.release(slot, loop_time())
+        return await self._resume(request, progress.last_id)
+
     async def _resume(self, request: RelayRequest, last_id: int | None) -> _Stream:
         """Goes on after the last event that was passed on."""
         if not request.route.resumable or not self._may_repeat(request):
@@ -336,12 +406,16 @@
         return await self._begin(request, last_id)
 
     def _on_cut(
-        self, request: RelayRequest, stream: _Stream, events: int, error: UpstreamLost
+        self,
+        request: RelayRequest,
+        stream: _Stream,
+        progress: _Progress,
+        error: UpstreamLost | None,
     ) -> None:
         engine = stream.slot.upstream
         engine.health.on_failure(loop_time())
         self._records.record(
-            request, "stream_broken", engine, events=events, error=error
+            request, "stream_broken", engine, events=progress.events, error=error
         )
 
 
@@ -355,7 +429,6 @@
 
     def __init__(self, stream: _Stream, slots: SlotDesk) -> None:
         self.stream = stream
-        self.complete = False
         self._slots = slots
         self._closed: _Stream | None = None
 
--- a/wasabimux/relay/placing.py
+++ b/wasabimux/relay/placing.py
@@ -143,6 +143,19 @@
                 )
         return sums
 
+    def most_of_a_peer(self, upstream: UpstreamId) -> float:
+        """Returns the most memory that the streams of one peer take at an engine."""
+        peers = self.mesh.peers_by_address.values() if self.mesh else ()
+        return max(
+            (
+                part.tokens[0]
+                for peer in peers
+                for part in (peer.use.upstreams if peer.use else ())
+                if part.upstream == upstream and part.tokens
+            ),
+            default=0.0,
+        )
+
     def waiting_elsewhere(self) -> int:
         """Returns the streams that wait for a slot at peers."""
         peers = self.mesh.peers_by_address.values() if self.mesh else ()
--- a/wasabimux/relay/ports.py
+++ b/wasabimux/relay/ports.py
@@ -176,6 +176,19 @@
     orders: int
 
 
+class StoppedStream(NamedTuple):
+    """A stream that an engine has stopped, to go on elsewhere.
+
+    Attributes:
+        handle: Name of its memory at the engine.
+        copied: True if the other engine has a copy; else it may only go on where it
+            was.
+    """
+
+    handle: str
+    copied: bool
+
+
 class EngineCall(NamedTuple):
     """A call to an engine besides requests."""
 
@@ -203,6 +216,17 @@
     def drop_handle(self, handle: str) -> EngineCall:
         """Frees the KV cache of a prefill."""
 
+    def move(self, request: RequestId, to: str) -> EngineCall:
+        """Stops a running stream and copies its memory to another engine.
+
+        Args:
+            request: Identity of the stream's request.
+            to: Address of the other engine.
+        """
+
+    def read_move(self, status: int, body: bytes) -> StoppedStream | None:
+        """Returns the stopped stream, None if it runs on or has ended."""
+
     def order(self, order: PhaseOrder) -> EngineCall:
         """Orders an engine to change its phase."""
 
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -32,6 +32,7 @@
 from wasabimux.relay.generation import GenerationFlow
 from wasabimux.relay.mesh import Mesh, hello_of
 from wasabimux.relay.model import WorkspaceRules
+from wasabimux.relay.moves import StreamMoves
 from wasabimux.relay.phases import PhaseKeeper
 from wasabimux.relay.placing import Placing
 from wasabimux.relay.plain import PlainFlow
@@ -162,9 +163,11 @@
         self._plain = PlainFlow(
             self.placing, platform.dialect, self.retries, records, metrics
         )
+        self._moves = StreamMoves(self.placing, self.slots, platform.engines, records)
         self._generation = GenerationFlow(
             self.placing,
             self.slots,
+            self._moves,
             PrefillFlow(
                 self.placing,
                 platform.dialect,
@@ -194,7 +197,7 @@
             timeline,
             rng,
         )
-        self._phases = PhaseKeeper(
+        self.phases = PhaseKeeper(
             settings.peers,
             Duty(
                 kinds.leases,
@@ -226,8 +229,8 @@
     def start(self) -> None:
         """Starts to follow the platform and peers."""
         runs = [follower.run for follower in self._followers]
-        runs += [self.mesh.run, self.slots.run, self._registration.run]
-        runs += [self._phases.run, self._expire]
+        runs += [self.mesh.run, self.slots.run, self._moves.run, self._registration.run]
+        runs += [self.phases.run, self._expire]
         self._started_s = loop_time()
         self._tasks = [asyncio.ensure_future(self._keep_running(run)) for run in runs]
 
--- a/wasabimux/relay/slots.py
+++ b/wasabimux/relay/slots.py
@@ -6,7 +6,7 @@
 import itertools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 
 from wasabimux._clock import loop_time
@@ -24,9 +24,9 @@
 from wasabimux.ids import FailureDomainId, UpstreamId
 from wasabimux.ports import UpstreamLost
 from wasabimux.relay.context import RelayRequest
-from wasabimux.relay.model import EngineProfile, Phase
+from wasabimux.relay.model import Phase, ServiceProfile
 from wasabimux.relay.placing import NOTHING_ELSEWHERE, Elsewhere, Placing
-from wasabimux.relay.ports import EngineDialect
+from wasabimux.relay.ports import EngineCall, EngineDialect
 from wasabimux.relay.upstreams import RunningStream, Upstream
 from wasabimux.timeline import Timeline
 
@@ -60,7 +60,7 @@
     Attributes:
         upstream: The engine.
         stream: What is expected of the stream.
-        hold: Name of the reservation there.
+        hold: Name of the reservation there, empty for a stream that moved.
         taken_s: When it was reserved.
         tokens_per_event: Tokens in one event.
         first_event_s: When the stream's first event came.
@@ -203,9 +203,7 @@
         self._forget(slot.upstream, slot.stream)
         self._on_use()
         if not slot.used:
-            task = asyncio.ensure_future(self._drop(slot.upstream, slot.hold))
-            self._dropping.add(task)
-            task.add_done_callback(self._dropping.discard)
+            self._drop_later(slot.upstream, self._engines.drop_hold(slot.hold))
         elif slot.ended and slot.first_event_s is not None:
             self._estimates.on_stream(
                 slot.stream.state.prompt_tokens,
@@ -215,6 +213,14 @@
             )
         self._wake.set()
 
+    def copy_to(self, slot: Slot, engine: Upstream) -> Slot:
+        """Takes a slot at another engine for a stream that moves there."""
+        stream = replace(slot.stream)
+        engine.running += 1
+        engine.streams.add(stream)
+        self._on_use()
+        return replace(slot, upstream=engine, stream=stream, hold="", used=True)
+
     async def run(self) -> None:
         """Grants slots until it is cancelled."""
         while True:
@@ -266,18 +272,25 @@
             )
             if engine.full_until_s <= now
         }
-        rooms = [
-            self._room(engine, service.engine, elsewhere) for engine in engines.values()
-        ]
+        rooms = [self.room(engine, service, elsewhere) for engine in engines.values()]
         room = roomier_of_two(rooms, item.stream.memory, self._rng)
         return None if room is None else engines[room.upstream]
 
-    def _room(
+    def room(
         self,
         engine: Upstream,
-        profile: EngineProfile,
+        service: ServiceProfile,
         elsewhere: dict[UpstreamId, Elsewhere],
     ) -> EngineRoom:
+        """Returns the room of an engine as far as is known.
+
+        Args:
+            engine: The engine.
+            service: Its service.
+            elsewhere: What peers run.
+        """
+        profile = service.engine
+        assert profile is not None
         peers = elsewhere.get(engine.id, NOTHING_ELSEWHERE)
         return EngineRoom(
             engine.id,
@@ -316,9 +329,18 @@
             self._metrics.on_step("slot_wait", wait_ms / 1000)
             self._record(item, "slot_granted", engine, tokens=tokens, wait_ms=wait_ms)
 
-    async def _drop(self, engine: Upstream, hold: str) -> None:
+    def drop_memory(self, engine: Upstream, handle: str) -> None:
+        """Frees memory that nobody will take any more."""
+        self._drop_later(engine, self._engines.drop_handle(handle))
+
+    def _drop_later(self, engine: Upstream, call: EngineCall) -> None:
+        task = asyncio.ensure_future(self._drop(engine, call))
+        self._dropping.add(task)
+        task.add_done_callback(self._dropping.discard)
+
+    async def _drop(self, engine: Upstream, call: EngineCall) -> None:
         try:
-            await engine.call(self._engines.drop_hold(hold))
+            await engine.call(call)
         except UpstreamLost as error:
             self._timeline.record("hold_kept", upstream=engine.id, error=error)
 
@@ -340,7 +362,7 @@
         assert request.service.engine is not None
         elsewhere = self._placing.running_elsewhere()
         rooms = [
-            self._room(engine, request.service.engine, elsewhere)
+            self.room(engine, request.service, elsewhere)
             for engine in self._placing.engines(
                 request.service.name, Phase.DECODE, now, []
             )
