Announce a change of an engine's phase before ordering it

Change: relays are told that an engine changes 1 s before it gets the order, and the lease is renewed in between.

--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -13,6 +13,7 @@
 from tests.relay_fixtures import KEY, RelayWorld, desired_state, relay_world
 from wasabimux.adapters.http_client import ClientConnection, HttpClient
 from wasabimux.decisions import relief
+from wasabimux.decisions.phase_plan import PhaseChange
 from wasabimux.platform.documents import PlatformDocuments
 from wasabimux.platform.store import PlatformStore
 from wasabimux.ports import UpstreamLost
@@ -175,6 +176,23 @@
     assert len([run for item in world.runners.values() for run in item.runs]) == 1
 
 
+async def test_an_engine_is_ordered_only_after_peers_know(world: RelayWorld) -> None:
+    """Failed first: streams with a slot were refused once the engine had its order."""
+    relay = world.relays[0].relay
+    service = relay.view.desired.service_by_name["engines"]
+    engine = relay.pool.by_id["dec-1"]
+    change = PhaseChange(engine.id, to_prefill=True)
+    assert await relay.phases.hold()
+    ordering = asyncio.ensure_future(relay.phases.order(service, engine, change))
+    async with await world.request("/gen/1", wasabimux_token_count=TOKENS) as answer:
+        assert await answer.body() == whole_stream()
+    assert not ordering.done()
+    assert world.runners["dec-1"].runs == []
+    assert world.runners["dec-1"].state.orders == []
+    await ordering
+    assert len(world.runners["dec-1"].state.orders) == 1
+
+
 async def test_a_stream_that_may_not_resume_is_cut(world: RelayWorld) -> None:
     for name in ("dec-1", "dec-2", "dec-3"):
         world.runners[name].troubles.cut_after = 2
--- a/wasabimux/relay/phases.py
+++ b/wasabimux/relay/phases.py
@@ -13,7 +13,7 @@
 from wasabimux.decisions.placement import rendezvous_top
 from wasabimux.decisions.stream_estimates import StreamEstimates
 from wasabimux.ports import UpstreamLost
-from wasabimux.relay.duty import Duty, boot_time_s
+from wasabimux.relay.duty import Duty
 from wasabimux.relay.mesh import Mesh
 from wasabimux.relay.model import Phase, ServiceProfile
 from wasabimux.relay.placing import Placing
@@ -34,6 +34,10 @@
 #: change itself.
 SETTLE_S = 2.0
 
+#: Time from the announcement of a change to its order. Streams that have a slot or a
+#: prefill there must begin meanwhile: an engine that changes refuses them.
+ANNOUNCE_S = 1.0
+
 #: Statuses of an order that is carried out, or holds already.
 ORDER_TAKEN = frozenset({200, 202})
 
@@ -111,12 +115,12 @@
             return
         looks = self._wanted_looks.get(change, 0) + 1
         self._wanted_looks = {change: looks}
-        if looks < LOOKS_AGREED or not await self._duty.hold():
+        if looks < LOOKS_AGREED or not await self.hold():
             return
         self._wanted_looks.clear()
         engine = self._placing.by_id(change.upstream)
         if engine is not None:
-            await self._order(service, engine, change)
+            await self.order(service, engine, change)
 
     def _change(self, service: ServiceProfile, now: float) -> PhaseChange | None:
         assert service.engine is not None
@@ -135,12 +139,22 @@
         cost = self._estimates.cost(profile.memory_tokens, profile.slots)
         return next_change(engines, cost)
 
-    async def _order(
+    async def hold(self) -> bool:
+        """Takes or keeps the duty to give orders; True if this relay has it now."""
+        return await self._duty.hold()
+
+    async def order(
         self, service: ServiceProfile, engine: Upstream, change: PhaseChange
     ) -> None:
+        """Announces a change of an engine's phase, then orders it."""
         assert service.engine is not None
+        quiet_s = service.engine.switch_s + SETTLE_S
+        engine.changing_until_s = loop_time() + ANNOUNCE_S + quiet_s
+        self._mesh.note_use()
+        await asyncio.sleep(ANNOUNCE_S)
         report = await self._report(engine)
-        if report is None or report.busy or not self._duty.may_act(boot_time_s()):
+        if report is None or report.busy or not await self.hold():
+            engine.changing_until_s = 0.0
             return
         order = PhaseOrder(
             engine.id,
@@ -149,9 +163,6 @@
             self._duty.fence,
             report.orders,
         )
-        quiet_s = service.engine.switch_s + SETTLE_S
-        engine.changing_until_s = loop_time() + quiet_s
-        self._mesh.note_use()
         try:
             status, _ = await engine.call(self._engines.order(order))
             if status not in ORDER_TAKEN:
