Have one relay grant the decode slots of an engine

Cause: when a slot comes free, every relay with a waiting stream sees it and takes it.

Ruled out: late word of ends and lengths; with exact knowledge the same grants exceeded the part that forecasts may fill.

Change: the owner of an engine, by rendezvous hash over the relays that hear one another, grants its slots one by one and counts a grant until the relay's own word must have come. Without an answer in 0.1 s a relay decides by itself.

--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -11,9 +11,12 @@
 import pytest_asyncio
 
 from tests.relay_fixtures import KEY, RelayWorld, desired_state, relay_world
+from wasabimux._clock import loop_time
 from wasabimux.adapters.http_client import ClientConnection, HttpClient
 from wasabimux.decisions import relief
+from wasabimux.decisions.memory_forecast import NOTHING
 from wasabimux.decisions.phase_plan import PhaseChange
+from wasabimux.decisions.placement import rendezvous_top
 from wasabimux.platform.documents import PlatformDocuments
 from wasabimux.platform.store import PlatformStore
 from wasabimux.ports import UpstreamLost
@@ -25,6 +28,7 @@
 from wasabimux.timeline import Timeline
 
 TOKENS = "100,60"
+COUNTED = {"wasabimux_token_count": TOKENS}
 
 #: A desired state is in force within 2 s; passing it on takes up to 0.6 s.
 CHANGE_HEARD_S = 1.4
@@ -193,6 +197,42 @@
     assert len(world.runners["dec-1"].state.orders) == 1
 
 
+async def test_one_relay_grants_the_slots_of_an_engine(pair: RelayWorld) -> None:
+    """Failed first: relays that saw one slot free each took it."""
+    relays = [item.relay for item in pair.relays]
+    await pair.eventually(
+        lambda: all(len(item.mesh.live_addresses(loop_time())) == 3 for item in relays)
+    )
+    addresses = relays[0].mesh.live_addresses(loop_time())
+    (owner,) = rendezvous_top(b"dec-1", addresses, 1)
+    asking = [item for item in relays if item.mesh.live_addresses(0.0)[0] != owner]
+    granted = await asyncio.gather(
+        *(
+            item.owners.may_take(
+                item.pool.by_id["dec-1"],
+                item.view.desired.service_by_name["engines"],
+                (0.4 * 80_000.0,) * len(NOTHING),
+            )
+            for item in asking
+        )
+    )
+    assert sorted(granted) == [False, True]
+
+
+async def test_a_silent_owner_holds_up_nobody(pair: RelayWorld) -> None:
+    relays = [item.relay for item in pair.relays]
+    for item in relays:
+        item.owners.on_ask = lambda link, ask: None
+    answers = await asyncio.gather(
+        *(
+            pair.request(f"/gen/{number}", f"r{number}", number, **COUNTED)
+            for number in range(3)
+        )
+    )
+    for answer in answers:
+        assert await answer.body() == whole_stream()
+
+
 async def test_a_stream_that_may_not_resume_is_cut(world: RelayWorld) -> None:
     for name in ("dec-1", "dec-2", "dec-3"):
         world.runners[name].troubles.cut_after = 2
--- a/tests/test_relief.py
+++ b/tests/test_relief.py
@@ -15,6 +15,7 @@
     total,
 )
 from wasabimux.decisions.relief import MovableStream, StreamMove, next_move, runs_full
+from wasabimux.decisions.slot_grants import TOLD_S, SlotGrants
 from wasabimux.ids import UpstreamId
 
 MEMORY_TOKENS = 87_238
@@ -59,6 +60,32 @@
     assert next_move(streams, others) == StreamMove(2, UpstreamId("roomy"))
 
 
+def test_an_owner_counts_grants_until_they_are_told() -> None:
+    grants = SlotGrants()
+    half = flat(0.4 * MEMORY_TOKENS)
+    empty = room("engine", flat(0.0))
+    assert grants.try_grant(empty, half, 0.0)
+    assert not grants.try_grant(empty, half, 0.5 * TOLD_S)
+    assert grants.try_grant(room("other", flat(0.0)), half, 0.5 * TOLD_S)
+    assert grants.try_grant(empty, half, 1.1 * TOLD_S)
+
+
+def test_an_owner_grants_no_more_than_the_free_slots() -> None:
+    grants = SlotGrants()
+    last = room("engine", flat(0.0), SLOTS - 1)
+    assert grants.try_grant(last, flat(100.0), 0.0)
+    assert not grants.try_grant(last, flat(100.0), 0.0)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_owners_keep_many_relays_from_filling_an_engine_together(seed: int) -> None:
+    """Failed first: 23 relays that all see one slot come free each took it."""
+    without = overflows(seed, relays=23)
+    owned = overflows(seed, relays=23, owned=True)
+    assert without > 100
+    assert owned < without / 10
+
+
 def test_nothing_moves_where_there_is_no_room() -> None:
     streams = [MovableStream(1, flat(6_000.0))]
     assert next_move(streams, [room("full", flat(80_000.0))]) is None
@@ -69,13 +96,15 @@
 @pytest.mark.parametrize("seed", range(3))
 def test_moves_keep_engines_from_running_out_of_memory(seed: int) -> None:
     """Six relays fill six engines, each hearing 0.15 s late what the others took."""
-    without = overflows(seed, moves=False)
+    without = overflows(seed)
     with_moves = overflows(seed, moves=True)
     assert without > 20
     assert with_moves < without / 5
 
 
-def overflows(seed: int, moves: bool) -> int:
+def overflows(
+    seed: int, relays: int = 6, moves: bool = False, owned: bool = False
+) -> int:
     """Plays 60 s of a load that keeps all engines full; counts engines out of memory.
 
     Streams arrive faster than they can be served, and their lengths are known only
@@ -84,14 +113,15 @@
     rng = random.Random(seed)
     by_engine: dict[str, list[Stream]] = {f"engine-{n}": [] for n in range(6)}
     told: list[dict[str, list[Stream]]] = []
+    grants = SlotGrants() if owned else None
     count = 0
-    for _ in range(1_200):
+    for step in range(1_200):
         for streams in by_engine.values():
             grow(streams)
         told.append({name: list(streams) for name, streams in by_engine.items()})
         late = told[-min(len(told), LATE_STEPS)]
-        for relay in range(6):
-            admit(by_engine, late, relay, rng)
+        for relay in range(relays):
+            admit(by_engine, late, relay, rng, grants, step * STEP_S)
         if moves:
             relieve(by_engine)
         count += sum(used(streams) > MEMORY_TOKENS for streams in by_engine.values())
@@ -116,8 +146,14 @@
     late: dict[str, list[Stream]],
     relay: int,
     rng: random.Random,
+    grants: SlotGrants | None,
+    now: float,
 ) -> None:
-    """Has a relay admit a stream where it believes that there is room."""
+    """Has a relay admit a stream where it believes that there is room.
+
+    With grants, the engine's owner has a say; it hears as late as the others, but
+    grants one stream after the other.
+    """
     length = min(10_000.0, rng.lognormvariate(8.4, 0.5))
     hint = length * rng.lognormvariate(0.0, 0.36)
     state = StreamState(rng.randint(2_000, 9_000), 0, hint, 10_000)
@@ -128,8 +164,15 @@
         known += [item for item in late[name] if item.relay != relay]
         rooms.append(room(name, total([s.forecast() for s in known]), len(known)))
     chosen = roomier_of_two(rooms, stream.forecast(), rng)
-    if chosen is not None:
-        by_engine[chosen.upstream].append(stream)
+    if chosen is None:
+        return
+    if grants is not None:
+        there = late[chosen.upstream]
+        used_there = total([item.forecast() for item in there])
+        owners = room(chosen.upstream, used_there, len(there))
+        if not grants.try_grant(owners, stream.forecast(), now):
+            return
+    by_engine[chosen.upstream].append(stream)
 
 
 def relieve(by_engine: dict[str, list[Stream]]) -> None:
--- a/wasabimux/link/_relay_codec.py
+++ b/wasabimux/link/_relay_codec.py
@@ -10,6 +10,8 @@
     RelayObject,
     RelayObjects,
     RelayUse,
+    SlotAnswer,
+    SlotAsk,
     UpstreamUse,
     WorkspaceUse,
 )
@@ -45,6 +47,31 @@
         target.revision = revision
 
 
+def encode_slot_ask(builder: Any, message: SlotAsk) -> None:
+    """Writes what a relay asks an owner for."""
+    ask = builder.init("slotAsk")
+    ask.number, ask.upstream, tokens = message
+    ask.tokens = [max(0, int(number)) for number in tokens]
+
+
+def encode_slot_answer(builder: Any, message: SlotAnswer) -> None:
+    """Writes an owner's answer."""
+    answer = builder.init("slotAnswer")
+    answer.number, answer.granted = message
+
+
+def decode_slot_ask(item: Any) -> SlotAsk:
+    """Reads what a relay asks an owner for."""
+    ask = item.slotAsk
+    return SlotAsk(ask.number, ask.upstream, tuple(ask.tokens))
+
+
+def decode_slot_answer(item: Any) -> SlotAnswer:
+    """Reads an owner's answer."""
+    answer = item.slotAnswer
+    return SlotAnswer(answer.number, answer.granted)
+
+
 def encode_objects(builder: Any, message: RelayObjects) -> None:
     """Writes objects that are passed on."""
     relayed = builder.init("relayObjects")
--- a/wasabimux/link/codec.py
+++ b/wasabimux/link/codec.py
@@ -11,9 +11,13 @@
 from wasabimux.decisions.rate import GrantDecision, GrantOutcome, GrantReport, Spent
 from wasabimux.link._relay_codec import (
     decode_objects,
+    decode_slot_answer,
+    decode_slot_ask,
     decode_use,
     encode_members,
     encode_objects,
+    encode_slot_answer,
+    encode_slot_ask,
     encode_use,
 )
 from wasabimux.link.messages import (
@@ -42,6 +46,8 @@
     RelayUse,
     SettingsUpdate,
     SettingsWanted,
+    SlotAnswer,
+    SlotAsk,
     refusal_from_wire,
 )
 from wasabimux.ports import Headers
@@ -260,6 +266,8 @@
     RelayMembers: encode_members,
     RelayUse: encode_use,
     RelayObjects: encode_objects,
+    SlotAsk: encode_slot_ask,
+    SlotAnswer: encode_slot_answer,
     RelayLeaving: _encode_relay_leaving,
 }
 
@@ -374,6 +382,8 @@
     "relayMembers": lambda item: RelayMembers(tuple(item.relayMembers)),
     "relayUse": decode_use,
     "relayObjects": decode_objects,
+    "slotAsk": decode_slot_ask,
+    "slotAnswer": decode_slot_answer,
     "relayLeaving": lambda item: RelayLeaving(),
     "claim": lambda item: Claim(item.claim.shard, item.claim.epoch),
     "claimReply": lambda item: ClaimReply(item.claimReply.shard, item.claimReply.epoch),
--- a/wasabimux/link/messages.py
+++ b/wasabimux/link/messages.py
@@ -312,6 +312,27 @@
     """Tells peers that the sender is about to end in good order."""
 
 
+class SlotAsk(NamedTuple):
+    """A relay asks the owner of an engine for a slot.
+
+    Attributes:
+        number: Tells the answer to it from others.
+        upstream: The engine.
+        tokens: Memory that the stream takes now and at later points in time.
+    """
+
+    number: int
+    upstream: str
+    tokens: tuple[float, ...]
+
+
+class SlotAnswer(NamedTuple):
+    """An owner's answer to a relay that asked for a slot."""
+
+    number: int
+    granted: bool
+
+
 Message = Union[
     Hello,
     Open,
@@ -335,6 +356,8 @@
     RelayUse,
     RelayObjects,
     RelayLeaving,
+    SlotAsk,
+    SlotAnswer,
 ]
 
 
--- a/wasabimux/link/wire.capnp
+++ b/wasabimux/link/wire.capnp
@@ -33,6 +33,8 @@
     relayUse @20 :RelayUse;
     relayObjects @21 :RelayObjects;
     relayLeaving @22 :Void; # the sender is about to end in good order
+    slotAsk @23 :SlotAsk;
+    slotAnswer @24 :SlotAnswer;
   }
 }
 
@@ -166,6 +168,17 @@
   changing @3 :Bool;      # the sender has ordered it to change its phase
 }
 
+struct SlotAsk {
+  number @0 :UInt32;
+  upstream @1 :Text;
+  tokens @2 :List(UInt32); # memory that the stream takes now and in the next seconds
+}
+
+struct SlotAnswer {
+  number @0 :UInt32;
+  granted @1 :Bool;
+}
+
 struct KindRevision {
   kind @0 :Text;
   revision @1 :UInt64;
--- a/wasabimux/relay/mesh.py
+++ b/wasabimux/relay/mesh.py
@@ -134,6 +134,25 @@
             and (peer.heard_s is None or now - peer.heard_s > 10 * USE_S)
         )
 
+    def live_addresses(self, now: float) -> list[str]:
+        """Returns the addresses of the relays that serve, this one included."""
+        heard = [
+            peer.address
+            for peer in self.peers_by_address.values()
+            if not peer.leaving
+            and peer.heard_s is not None
+            and now - peer.heard_s < 10 * USE_S
+        ]
+        return [self._address, *heard]
+
+    def send_to(self, address: str, message: Message) -> bool:
+        """Sends a message to a peer; False without a link to it."""
+        for link, found in self._address_by_link.items():
+            if found == address and not link.lost.is_set():
+                link.send(0, message)
+                return True
+        return False
+
     async def run(self) -> None:
         """Keeps links up and exchanges use until it is cancelled."""
         next_connect_s = 0.0
--- a/wasabimux/relay/moves.py
+++ b/wasabimux/relay/moves.py
@@ -75,7 +75,7 @@
 
     Args:
         placing: Finds engines.
-        slots: Knows the room of engines and takes slots for moved streams.
+        slots: Takes slots for moved streams.
         engines: Calls of engines.
         records: Records moves.
     """
@@ -123,7 +123,7 @@
         elsewhere = self._placing.running_elsewhere()
         for item in engines.values():
             engine, service = item.slot.upstream, item.request.service
-            room = self._slots.room(engine, service, elsewhere)
+            room = self._placing.room(engine, service, elsewhere)
             if runs_full(room) and self._is_ours(engine):
                 self._relieve(engine, service, elsewhere, now)
 
@@ -154,7 +154,7 @@
                 for item in here
                 if item.task is None
             ],
-            [self._slots.room(item, service, elsewhere) for item in others.values()],
+            [self._placing.room(item, service, elsewhere) for item in others.values()],
         )
         if move is not None:
             running = self._running[move.number]
--- a/wasabimux/relay/phases.py
+++ b/wasabimux/relay/phases.py
@@ -96,14 +96,8 @@
 
     def _is_first(self, now: float) -> bool:
         """Tells whether this relay is the one to take the duty, if all hear all."""
-        heard = [
-            peer.address
-            for peer in self._mesh.peers_by_address.values()
-            if not peer.leaving
-            and peer.heard_s is not None
-            and now - peer.heard_s < LOOK_S
-        ]
-        return rendezvous_top(b"phases", [self._address, *heard], 1)[0] == self._address
+        live = self._mesh.live_addresses(now)
+        return rendezvous_top(b"phases", live, 1)[0] == self._address
 
     async def _look(self, service: ServiceProfile) -> None:
         now = loop_time()
--- a/wasabimux/relay/placing.py
+++ b/wasabimux/relay/placing.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from wasabimux.decisions.decode_queue import EngineRoom
 from wasabimux.decisions.memory_forecast import NOTHING, Forecast, total
 from wasabimux.decisions.upstream_choice import CallCandidate, choose_upstream
 from wasabimux.ids import FailureDomainId, UpstreamId
@@ -143,6 +144,30 @@
                 )
         return sums
 
+    def room(
+        self,
+        engine: Upstream,
+        service: ServiceProfile,
+        elsewhere: dict[UpstreamId, Elsewhere],
+    ) -> EngineRoom:
+        """Returns the room of an engine as far as is known.
+
+        Args:
+            engine: The engine.
+            service: Its service.
+            elsewhere: What peers run.
+        """
+        profile = service.engine
+        assert profile is not None
+        peers = elsewhere.get(engine.id, NOTHING_ELSEWHERE)
+        return EngineRoom(
+            engine.id,
+            profile.memory_tokens,
+            total([engine.memory(), peers.memory]),
+            profile.slots - engine.running - peers.running,
+            engine.record.failure_domain == self._failure_domain,
+        )
+
     def most_of_a_peer(self, upstream: UpstreamId) -> float:
         """Returns the most memory that the streams of one peer take at an engine."""
         peers = self.mesh.peers_by_address.values() if self.mesh else ()
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -24,7 +24,14 @@
 from wasabimux.ids import FailureDomainId, RequestId, WorkspaceId, new_incarnation
 from wasabimux.link.channels import connect_tcp
 from wasabimux.link.link import Link, LinkTraffic
-from wasabimux.link.messages import Message, RelayUse, UpstreamUse, WorkspaceUse
+from wasabimux.link.messages import (
+    Message,
+    RelayUse,
+    SlotAnswer,
+    SlotAsk,
+    UpstreamUse,
+    WorkspaceUse,
+)
 from wasabimux.relay.admission import Admission
 from wasabimux.relay.context import RelayRequest
 from wasabimux.relay.duty import Duty
@@ -33,6 +40,7 @@
 from wasabimux.relay.mesh import Mesh, hello_of
 from wasabimux.relay.model import WorkspaceRules
 from wasabimux.relay.moves import StreamMoves
+from wasabimux.relay.owners import EngineOwners
 from wasabimux.relay.phases import PhaseKeeper
 from wasabimux.relay.placing import Placing
 from wasabimux.relay.plain import PlainFlow
@@ -145,12 +153,13 @@
         )
         self.placing = Placing(self.view, self.pool, domain, rng)
         self.placing.mesh = self.mesh
+        self.owners = EngineOwners(settings.peers, self.mesh, self.view, self.placing)
         estimates = StreamEstimates()
         records = RequestRecords(timeline)
         self.slots = SlotDesk(
             self.placing,
+            self.owners,
             platform.engines,
-            domain,
             timeline,
             estimates,
             metrics,
@@ -338,7 +347,12 @@
         self.slots.wake()
 
     def _on_peer_message(self, link: Link, message: Message) -> None:
-        self.mesh.on_message(link, message)
+        if isinstance(message, SlotAsk):
+            self.owners.on_ask(link, message)
+        elif isinstance(message, SlotAnswer):
+            self.owners.on_answer(message)
+        else:
+            self.mesh.on_message(link, message)
 
     def _on_peer_use(self, life: int, use: RelayUse) -> None:
         now = loop_time()
--- a/wasabimux/relay/slots.py
+++ b/wasabimux/relay/slots.py
@@ -12,20 +12,20 @@
 from wasabimux._clock import loop_time
 from wasabimux.adapters.relay_metrics import RelayMetrics
 from wasabimux.decisions.decode_queue import (
-    EngineRoom,
     WaitingStream,
     expected_wait_s,
     order_waiting,
     roomier_of_two,
 )
-from wasabimux.decisions.memory_forecast import StreamState, total
+from wasabimux.decisions.memory_forecast import StreamState
 from wasabimux.decisions.stream_estimates import StreamEstimates
 from wasabimux.errors import ErrorCode
-from wasabimux.ids import FailureDomainId, UpstreamId
+from wasabimux.ids import UpstreamId
 from wasabimux.ports import UpstreamLost
 from wasabimux.relay.context import RelayRequest
-from wasabimux.relay.model import Phase, ServiceProfile
-from wasabimux.relay.placing import NOTHING_ELSEWHERE, Elsewhere, Placing
+from wasabimux.relay.model import Phase
+from wasabimux.relay.owners import EngineOwners
+from wasabimux.relay.placing import Elsewhere, Placing
 from wasabimux.relay.ports import EngineCall, EngineDialect
 from wasabimux.relay.upstreams import RunningStream, Upstream
 from wasabimux.timeline import Timeline
@@ -102,8 +102,8 @@
 
     Args:
         placing: Finds engines.
+        owners: Grants slots.
         engines: Calls of engines.
-        failure_domain: Where the relay runs.
         timeline: Records decisions.
         estimates: What streams take.
         metrics: Times waits.
@@ -114,8 +114,8 @@
     def __init__(
         self,
         placing: Placing,
+        owners: EngineOwners,
         engines: EngineDialect,
-        failure_domain: FailureDomainId,
         timeline: Timeline,
         estimates: StreamEstimates,
         metrics: RelayMetrics,
@@ -123,12 +123,12 @@
         on_use: Callable[[], None],
     ) -> None:
         self._placing = placing
+        self._owners = owners
         self._engines = engines
         self._estimates = estimates
         self._metrics = metrics
         self._rng = rng
         self._on_use = on_use
-        self._failure_domain = failure_domain
         self._timeline = timeline
         self._numbers = itertools.count(1)
         self._waiting: dict[int, _Waiting] = {}
@@ -248,7 +248,6 @@
             running = self._running(item.request)
             engine.running += 1
             engine.streams.add(running)
-            self._on_use()
             task = asyncio.ensure_future(self._ask(item, engine, running))
             self._asking[stream.number] = task
             task.add_done_callback(partial(self._asked, stream.number))
@@ -272,40 +271,25 @@
             )
             if engine.full_until_s <= now
         }
-        rooms = [self.room(engine, service, elsewhere) for engine in engines.values()]
+        rooms = [
+            self._placing.room(engine, service, elsewhere)
+            for engine in engines.values()
+        ]
         room = roomier_of_two(rooms, item.stream.memory, self._rng)
         return None if room is None else engines[room.upstream]
 
-    def room(
-        self,
-        engine: Upstream,
-        service: ServiceProfile,
-        elsewhere: dict[UpstreamId, Elsewhere],
-    ) -> EngineRoom:
-        """Returns the room of an engine as far as is known.
-
-        Args:
-            engine: The engine.
-            service: Its service.
-            elsewhere: What peers run.
-        """
-        profile = service.engine
-        assert profile is not None
-        peers = elsewhere.get(engine.id, NOTHING_ELSEWHERE)
-        return EngineRoom(
-            engine.id,
-            profile.memory_tokens,
-            total([engine.memory(), peers.memory]),
-            profile.slots - engine.running - peers.running,
-            engine.record.failure_domain == self._failure_domain,
-        )
-
     async def _ask(
         self, item: _Waiting, engine: Upstream, stream: RunningStream
     ) -> None:
         """Asks an engine for a reservation; the engine has the last word."""
-        profile = item.request.service.engine
+        service = item.request.service
+        profile = service.engine
         assert profile is not None
+        if not await self._owners.may_take(engine, service, stream.forecast()):
+            self._forget(engine, stream)
+            engine.full_until_s = loop_time() + FULL_S
+            return
+        self._on_use()
         hold = None
         tokens = stream.state.prompt_tokens + HELD_EVENTS * profile.tokens_per_event
         try:
@@ -362,7 +346,7 @@
         assert request.service.engine is not None
         elsewhere = self._placing.running_elsewhere()
         rooms = [
-            self.room(engine, request.service, elsewhere)
+            self._placing.room(engine, request.service, elsewhere)
             for engine in self._placing.engines(
                 request.service.name, Phase.DECODE, now, []
             )
