--- a/wasabimux/decisions/memory_forecast.py
+++ b/wasabimux/decisions/memory_forecast.py
@@ -17,7 +17,7 @@
 HORIZONS_S = (0.0, 0.5, 1.0, 1.5, 2.0, 3.0, 4.0)
 
 #: Part of an engine's memory that forecasts may fill.
-FILL = 0.72
+FILL = 0.76
 
 #: Spread of lengths about the caller's estimate, as the deviation of the logarithm.
 LENGTH_SPREAD = 0.36
