Say when a caller leaves or an answer stays incomplete; take out dead code

Cause: a request whose caller left had no last line, so its end could not be found by its id; a stream cut while it looked for another engine had no `answer_cut`.

Change: `caller_left`, `answer_incomplete`, and `answer_cut` with the refusal's text for every cut. One deadline refusal instead of three. Out: the sending option and the answer's facts that nothing used. A caller's last chance is looked at before the rooms are worked out.

--- a/wasabimux/platform/headers.py
+++ b/wasabimux/platform/headers.py
@@ -20,7 +20,7 @@
 TENANT = b"wasabimux-tenant"
 EXPECT_INSTANCE = b"wasabimux-expect-instance"
 NOT_EXECUTED = b"wasabimux-not-executed"
-#: Running, waiting, slots, separated by commas.
+#: Load of the upstream, for the relay alone.
 SERVER_LOAD = b"wasabimux-server-load"
 STAGE = b"wasabimux-stage"
 KV_SOURCE = b"wasabimux-kv-source"
@@ -95,14 +95,10 @@
         """Reads the head of an upstream's answer."""
         by_name = dict(headers)
         request_id = by_name.get(REQUEST_ID)
-        load = _numbers(by_name.get(SERVER_LOAD))
         return AnswerFacts(
             None if request_id is None else request_id.decode("latin-1"),
             SIGNATURE in by_name,
             NOT_EXECUTED in by_name,
-            load[1] if len(load) == 3 else None,
-            load[0] if len(load) == 3 else 0,
-            by_name.get(b"connection", b"").lower() == b"close",
         )
 
     def answer_headers(self, headers: Headers) -> Headers:
--- a/wasabimux/relay/context.py
+++ b/wasabimux/relay/context.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncGenerator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -131,6 +133,17 @@
         error.request_id = self.facts.id
         return error
 
-    def scope(self) -> asyncio.Timeout:
-        """Returns a scope that ends with the request's time."""
-        return asyncio.timeout_at(self.deadline_s)
+    @asynccontextmanager
+    async def scope(self) -> AsyncGenerator[None, None]:
+        """Runs steps until the request's time is over.
+
+        Raises:
+            RefusedError: It is over.
+        """
+        try:
+            async with asyncio.timeout_at(self.deadline_s):
+                yield
+        except TimeoutError:
+            raise self.refusal(
+                ErrorCode.DEADLINE, "the time of the request is over"
+            ) from None
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -120,20 +120,21 @@
         Raises:
             RefusedError: It was refused or failed before its first event.
         """
-        try:
-            async with request.scope():
-                stream = await self._begin(request, request.facts.last_event_id)
-        except TimeoutError:
-            raise request.refusal(
-                ErrorCode.DEADLINE, "the time of the request is over"
-            ) from None
+        async with request.scope():
+            stream = await self._begin(request, request.facts.last_event_id)
         headers = self._dialect.answer_headers(stream.response.headers)
         owner = _StreamOwner(stream, self._slots)
+
+        def on_done(complete: bool) -> None:
+            if not complete:
+                self._records.record(request, "answer_incomplete")
+            owner.close_stream()
+
         return HttpResponse(
             stream.response.status,
             headers,
             self._body(request, owner),
-            on_done=owner.on_done,
+            on_done=on_done,
         )
 
     async def _begin(self, request: RelayRequest, after: int | None) -> _Stream:
@@ -340,13 +341,14 @@
                     else:
                         self._on_cut(request, stream, progress, lost)
                         owner.stream = await self._resume(request, progress.last_id)
-        except TimeoutError:
+        except RefusedError as error:
             self._records.record(
-                request, "answer_cut", reason="deadline", events=progress.events
+                request,
+                "answer_cut",
+                reason=error.refusal.message,
+                events=progress.events,
             )
-            raise request.refusal(
-                ErrorCode.DEADLINE, "the time of the request is over"
-            ) from None
+            raise
 
     async def _events(
         self, request: RelayRequest, stream: _Stream, progress: _Progress
@@ -401,7 +403,6 @@
     async def _resume(self, request: RelayRequest, last_id: int | None) -> _Stream:
         """Goes on after the last event that was passed on."""
         if not request.route.resumable or not self._may_repeat(request):
-            self._records.record(request, "answer_cut", reason="not_resumable")
             raise request.refusal(ErrorCode.UPSTREAM_LOST, "the stream was cut")
         return await self._begin(request, last_id)
 
@@ -438,7 +439,3 @@
             self._closed = self.stream
             self.stream.response.close()
             self._slots.release(self.stream.slot, loop_time())
-
-    def on_done(self, complete: bool) -> None:
-        """Ends what still runs once the answer has ended in any way."""
-        self.close_stream()
--- a/wasabimux/relay/model.py
+++ b/wasabimux/relay/model.py
@@ -241,14 +241,8 @@
         id: Identity of the request that it answers, None if it does not say.
         signed: True if an upstream made the answer.
         not_executed: True if the request has not run and will not.
-        waiting: Requests that wait at the upstream, None if it does not say.
-        running: Requests that run there.
-        closing: True if the upstream closes the connection.
     """
 
     id: str | None
     signed: bool
     not_executed: bool
-    waiting: int | None
-    running: int
-    closing: bool
--- a/wasabimux/relay/plain.py
+++ b/wasabimux/relay/plain.py
@@ -80,13 +80,8 @@
         Raises:
             RefusedError: It was refused or failed.
         """
-        try:
-            async with request.scope():
-                answer = await self._answer(request)
-        except TimeoutError:
-            raise request.refusal(
-                ErrorCode.DEADLINE, "the time of the request is over"
-            ) from None
+        async with request.scope():
+            answer = await self._answer(request)
         headers = self._dialect.answer_headers(answer.headers)
         return HttpResponse(answer.status, headers, answer.body)
 
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -155,7 +155,7 @@
         self.placing.mesh = self.mesh
         self.owners = EngineOwners(settings.peers, self.mesh, self.view, self.placing)
         estimates = StreamEstimates()
-        records = RequestRecords(timeline)
+        records = self._records = RequestRecords(timeline)
         self.slots = SlotDesk(
             self.placing,
             self.owners,
@@ -273,6 +273,10 @@
         except RefusedError as error:
             self._count(kind, error.refusal, request.arrived_s)
             raise
+        except asyncio.CancelledError:
+            age_ms = round((loop_time() - request.arrived_s) * 1000)
+            self._records.record(admitted, "caller_left", age_ms=age_ms)
+            raise
         finally:
             self._admission.settle(admitted, loop_time())
         return self._counted(response, kind, request.arrived_s)
--- a/wasabimux/relay/slots.py
+++ b/wasabimux/relay/slots.py
@@ -343,6 +343,8 @@
 
     def _refuse_if_hopeless(self, request: RelayRequest, now: float) -> None:
         """Refuses a stream for which no slot can come free in time."""
+        if request.last_chance:
+            return
         assert request.service.engine is not None
         elsewhere = self._placing.running_elsewhere()
         rooms = [
@@ -360,8 +362,6 @@
         running = sum(
             request.service.engine.slots - max(0, room.free_slots) for room in rooms
         )
-        if request.last_chance:
-            return
         ahead = self.waiting + self._placing.waiting_elsewhere()
         wait_s = expected_wait_s(ahead, running, self._estimates.stream_s, free)
         if wait_s > WAIT_PART * request.route.patience_s:
--- a/wasabimux/relay/upstreams.py
+++ b/wasabimux/relay/upstreams.py
@@ -138,7 +138,6 @@
         target: str,
         headers: Headers,
         body: bytes,
-        fresh: bool = False,
     ) -> ClientResponse:
         """Sends a request and returns its answer once the head is there.
 
@@ -147,12 +146,11 @@
             target: HTTP target.
             headers: Headers without framing.
             body: Whole body.
-            fresh: True to use a connection that no request has used.
 
         Raises:
             UpstreamLost: No answer; `sent` tells whether it may have run.
         """
-        connection = None if fresh else await self._take_idle()
+        connection = await self._take_idle()
         if connection is None:
             connection = await ClientConnection.connect(
                 self._host, self._port, CONNECT_TIMEOUT_S
