--- a/tests/relay_fixtures.py
+++ b/tests/relay_fixtures.py
@@ -37,15 +37,8 @@
         **headers: str,
     ) -> ClientResponse:
         """Sends a request as a caller would; keyword names become headers."""
-        sent = {
-            "wasabimux-request-id": request_id,
-            "wasabimux-deadline-ms": "14000",
-            "authorization": f"Bearer {KEY}",
-        }
-        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
-        pairs = [(name.encode(), value.encode()) for name, value in sent.items()]
-        client = _CallerClient(*self.relays[relay].callers)
-        return await client.request(method, path, pairs, body)
+        callers = self.relays[relay].callers
+        return await call(callers, path, request_id, method, body, **headers)
 
     async def eventually(self, holds: Callable[[], bool]) -> None:
         """Waits until something holds."""
@@ -53,6 +46,25 @@
             await asyncio.sleep(0.01)
 
 
+async def call(
+    callers: tuple[str, int],
+    path: str,
+    request_id: str = "r1",
+    method: str = "POST",
+    body: bytes = b"body",
+    **headers: str,
+) -> ClientResponse:
+    """Sends a request to a relay; keyword names become headers."""
+    sent = {
+        "wasabimux-request-id": request_id,
+        "wasabimux-deadline-ms": "14000",
+        "authorization": f"Bearer {KEY}",
+    }
+    sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+    pairs = [(name.encode(), value.encode()) for name, value in sent.items()]
+    return await _CallerClient(*callers).request(method, path, pairs, body)
+
+
 class _CallerClient(HttpClient):
     def _framed(self, headers: Any, body: bytes) -> Any:
         framed = [(b"host", HOST.encode()), *headers]
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import AsyncGenerator
 
 import pytest_asyncio
@@ -12,6 +13,7 @@
     ContainsDict,
     EndsWith,
     Equals,
+    GreaterThan,
     HasLength,
     MatchesStructure,
     Not,
@@ -19,6 +21,7 @@
 )
 
 from tests.client import authorization, completion_body, send
+from wasabimux._clock import loop_time
 from wasabimux.adapters.http_client import HttpClient
 from wasabimux.settings.fleet import FleetSettings
 from wasabimux.standins.embedded import EmbeddedFleet, run_embedded
@@ -131,3 +134,30 @@
             held = [run for state in states for run in state["memory"]]
             await asyncio.sleep(0.01)
     assert_that(held, HasLength(0))
+
+
+async def test_a_completion_that_is_not_streamed_may_take_its_time(
+    brazos: FleetSettings,
+) -> None:
+    """Failed first: an engine counted as dead after 5 s without a token.
+
+    A caller that names no `max_tokens` and does not stream gets all at the end.
+    """
+    slow = EngineParameters(prefill_base_s=0.001, step_base_s=0.013)
+    async with run_embedded(brazos, parameters=slow) as fleet:
+        pool = fleet.entry.entry.pool
+        while not all(pool.usable(group.id) for group in brazos.groups):
+            await asyncio.sleep(0.005)
+        body = json.loads(completion_body())
+        del body["max_tokens"]
+        began_s = loop_time()
+        async with HttpClient(*fleet.entry.callers) as caller:
+            answer = await send(
+                caller,
+                "POST",
+                "/v1/completions",
+                authorization("rope-yard"),
+                json.dumps(body).encode(),
+            )
+    assert_that(answer.status, Equals(200))
+    assert_that(loop_time() - began_s, GreaterThan(5.0))
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -416,7 +416,7 @@
     )
 
 
-@pytest.mark.parametrize("members", [1, 4, 6, 770])
+@pytest.mark.parametrize("members", [1, 4, 6, 23, 770])
 def test_a_watch_cut_off_without_a_word_is_noticed(members: int) -> None:
     """Failed first: watches of 6 s held an old desired state for as long.
 
