Let no change among the peers end a relay that shuts down

The process ended at once, with all streams on it.

Change: it tells all links known at that moment together, for 0.3 s at most. The test failed first with the same error.

--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -17,11 +17,12 @@
 from wasabimux.decisions.memory_forecast import NOTHING
 from wasabimux.decisions.phase_plan import PhaseChange
 from wasabimux.decisions.placement import rendezvous_top
+from wasabimux.link.link import Link
 from wasabimux.platform.documents import PlatformDocuments
 from wasabimux.platform.store import PlatformStore
 from wasabimux.ports import UpstreamLost
 from wasabimux.relay.follower import RETURN_S, Follower
-from wasabimux.relay.mesh import MAX_PEERS
+from wasabimux.relay.mesh import CONNECT_S, MAX_PEERS
 from wasabimux.relay.moves import LOOK_S
 from wasabimux.relay.ports import ObjectChange, PlatformObject
 from wasabimux.relay.view import FleetView
@@ -381,6 +382,24 @@
     await pair.eventually(lambda: all(m.silent(loop.time()) == 0 for m in meshes))
 
 
+async def test_peers_that_go_meanwhile_do_not_break_an_end(
+    pair: RelayWorld, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Failed first: relays ended by an error on SIGTERM as the links changed.
+
+    From the grown site's fresh-a525, where four processes ended by themselves.
+    """
+    mesh = pair.relays[0].relay.mesh
+    await pair.eventually(lambda: len(mesh.live_addresses(loop_time())) == 3)
+
+    async def flush(link: Link) -> None:
+        link.close()
+        await asyncio.sleep(2 * CONNECT_S)
+
+    monkeypatch.setattr(Link, "flush", flush)
+    await mesh.leave()
+
+
 async def test_peers_pass_on_what_the_store_tells_only_one(pair: RelayWorld) -> None:
     """A store that goes silent is made up for by peers; versions never fall."""
     meshes = [running.relay.mesh for running in pair.relays]
--- a/wasabimux/relay/follower.py
+++ b/wasabimux/relay/follower.py
@@ -14,12 +14,11 @@
 
 #: Lengths of a watch. A watch may be cut off without a word, so its length bounds for
 #: how long a change stays unnoticed; relays take turns, as each tells its peers.
+#: Lengths are drawn from the least to the longest, so that relays fall out of step.
 WATCH_S_A_RELAY = 0.45
-MIN_WATCH_S = 1.0
-MAX_WATCH_S = 2.4
-
-#: Least part of a watch's length that is drawn, so that relays fall out of step.
-MIN_DRAWN = 0.4
+MIN_WATCH_S = 0.8
+MIN_LONGEST_S = 1.0
+MAX_LONGEST_S = 5.0
 
 #: Waits between calls while the store does not answer, with jitter below.
 FIRST_RETRY_S = 0.1
@@ -102,10 +101,8 @@
 
     def watch_s(self) -> float:
         """Returns the length of the next watch."""
-        longest_s = min(
-            MAX_WATCH_S, max(MIN_WATCH_S, WATCH_S_A_RELAY * self._members())
-        )
-        return self._rng.uniform(MIN_DRAWN, 1.0) * longest_s
+        longest_s = max(MIN_LONGEST_S, WATCH_S_A_RELAY * self._members())
+        return self._rng.uniform(MIN_WATCH_S, min(MAX_LONGEST_S, longest_s))
 
     def _on_answer(self) -> float | None:
         """Notes an answer.
--- a/wasabimux/relay/mesh.py
+++ b/wasabimux/relay/mesh.py
@@ -36,6 +36,9 @@
 #: time between attempts to reach peers.
 USE_S = 0.15
 GATHER_S = 0.03
+
+#: Longest wait until peers have been told that this relay ends.
+LEAVE_S = 0.3
 CONNECT_S = 0.5
 
 #: Time for which a peer may lag before objects are passed on to it. Most often it
@@ -180,10 +183,15 @@
         self._changed.clear()
 
     async def leave(self) -> None:
-        """Tells peers that this relay ends."""
-        for link in self._address_by_link:
+        """Tells peers that this relay ends; waits for none of them for long."""
+        links = list(self._address_by_link)  # peers may come and go meanwhile
+        for link in links:
             link.send(0, RelayLeaving())
-            await link.flush()
+        try:
+            async with asyncio.timeout(LEAVE_S):
+                await asyncio.gather(*(link.flush() for link in links))
+        except TimeoutError:
+            self._timeline.record("peers_not_told", peers=len(links))
 
     def on_message(self, link: Link, message: Message) -> None:
         """Takes a message of a peer."""
