Leave engines alone at which two peers have failed

Change: relays tell one another which upstreams they leave alone; an engine that two peers leave alone is tried last.

--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -22,7 +22,8 @@
 from wasabimux.platform.store import PlatformStore
 from wasabimux.ports import UpstreamLost
 from wasabimux.relay.follower import RETURN_S, Follower
-from wasabimux.relay.mesh import CONNECT_S, MAX_PEERS
+from wasabimux.relay.mesh import CONNECT_S, MAX_PEERS, USE_S
+from wasabimux.relay.model import Phase
 from wasabimux.relay.moves import LOOK_S
 from wasabimux.relay.ports import ObjectChange, PlatformObject
 from wasabimux.relay.view import FleetView
@@ -220,6 +221,25 @@
     assert sorted(granted) == [False, True]
 
 
+async def test_an_engine_at_which_two_peers_failed_is_not_tried(
+    pair: RelayWorld,
+) -> None:
+    """Failed first: each relay waited for a dark engine by itself."""
+    first, second, third = (item.relay for item in pair.relays)
+
+    def engines() -> list[str]:
+        found = third.placing.engines("engines", Phase.DECODE, loop_time(), [])
+        return sorted(item.id for item in found)
+
+    first.pool.by_id["dec-1"].health.rest(loop_time())
+    await asyncio.sleep(2 * USE_S)
+    assert engines() == ["dec-1", "dec-2", "dec-3"]  # one may be cut off itself
+    for relay in (first, second):
+        for _ in range(3):
+            relay.pool.by_id["dec-1"].health.rest(loop_time())
+    await pair.eventually(lambda: engines() == ["dec-2", "dec-3"])
+
+
 async def test_a_silent_owner_holds_up_nobody(pair: RelayWorld) -> None:
     relays = [item.relay for item in pair.relays]
     for item in relays:
--- a/wasabimux/link/_relay_codec.py
+++ b/wasabimux/link/_relay_codec.py
@@ -37,7 +37,7 @@
         target.workspace, target.charged, target.reserved = share
     upstreams = use.init("upstreams", len(message.upstreams))
     for target, part in zip(upstreams, message.upstreams):
-        upstream, running, tokens, target.changing = part
+        upstream, running, tokens, target.changing, target.resting = part
         target.upstream = upstream
         target.running = min(running, RUNNING_MAX)
         target.tokens = [max(0, int(number)) for number in tokens]
@@ -95,7 +95,13 @@
             for part in use.workspaces
         ),
         tuple(
-            UpstreamUse(part.upstream, part.running, tuple(part.tokens), part.changing)
+            UpstreamUse(
+                part.upstream,
+                part.running,
+                tuple(part.tokens),
+                part.changing,
+                part.resting,
+            )
             for part in use.upstreams
         ),
         tuple(KindRevision(part.kind, part.revision) for part in use.revisions),
--- a/wasabimux/link/messages.py
+++ b/wasabimux/link/messages.py
@@ -244,12 +244,14 @@
         running: Requests there.
         tokens: Memory that they take now and at later points in time.
         changing: True if the sender has ordered it to change its phase.
+        resting: True if the sender leaves it alone after failures.
     """
 
     upstream: str
     running: int
     tokens: tuple[float, ...]
     changing: bool = False
+    resting: bool = False
 
 
 class KindRevision(NamedTuple):
--- a/wasabimux/link/wire.capnp
+++ b/wasabimux/link/wire.capnp
@@ -166,6 +166,7 @@
   running @1 :UInt16;     # requests that the sender has there
   tokens @2 :List(UInt32); # of memory that they take now and in the next seconds
   changing @3 :Bool;      # the sender has ordered it to change its phase
+  resting @4 :Bool;       # the sender leaves it alone after failures
 }
 
 struct SlotAsk {
--- a/wasabimux/relay/placing.py
+++ b/wasabimux/relay/placing.py
@@ -15,6 +15,10 @@
 from wasabimux.relay.upstreams import Upstream, UpstreamPool
 from wasabimux.relay.view import FleetView
 
+#: Peers that must have failed at an engine before it is not tried here. A single one
+#: may be cut off by itself.
+PEERS_FAILED = 2
+
 #: Part of a cold upstream's bound that all relays together use.
 COLD_SHARE = 0.8
 
@@ -26,11 +30,13 @@
         running: Their requests there.
         memory: Memory that these take.
         changing: True if one of them has ordered it to change its phase.
+        resting: Peers that leave it alone after failures.
     """
 
     running: int
     memory: Forecast
     changing: bool = False
+    resting: int = 0
 
 
 NOTHING_ELSEWHERE = Elsewhere(0, NOTHING)
@@ -118,7 +124,8 @@
     ) -> list[Upstream]:
         """Returns the engines of a phase that may take a request.
 
-        One that was ordered to change runs nothing new, whatever it reserves.
+        One that was ordered to change runs nothing new, whatever it reserves. One at
+        which several peers have failed is left to them, unless there is no other.
         """
         elsewhere = self.running_elsewhere()
 
@@ -127,7 +134,13 @@
             changing = item.changing_until_s > now or peers.changing
             return item.phase is phase and not changing
 
-        return self.usable(service, now, avoid, suits)
+        found = self.usable(service, now, avoid, suits)
+        trusted = [
+            item
+            for item in found
+            if elsewhere.get(item.id, NOTHING_ELSEWHERE).resting < PEERS_FAILED
+        ]
+        return trusted or found
 
     def running_elsewhere(self) -> dict[UpstreamId, Elsewhere]:
         """Returns what peers run at upstreams, as they last said."""
@@ -141,6 +154,7 @@
                     before.running + part.running,
                     total([before.memory, added]),
                     before.changing or part.changing,
+                    before.resting + part.resting,
                 )
         return sums
 
