--- a/wasabimux/relay/moves.py
+++ b/wasabimux/relay/moves.py
@@ -45,7 +45,7 @@
         return f"{self.source.record.address}/{self.handle}"
 
 
-class RunningMove:
+class MovableRun:
     """A stream that may move while it runs.
 
     Args:
@@ -92,15 +92,15 @@
         self._engines = engines
         self._records = records
         self._numbers = 0
-        self._running: dict[int, RunningMove] = {}
+        self._running: dict[int, MovableRun] = {}
 
     @contextmanager
     def movable(
         self, request: RelayRequest, slot: Slot
-    ) -> Generator[RunningMove, None, None]:
+    ) -> Generator[MovableRun, None, None]:
         """Lets a stream be moved while the scope lasts, if it may go on elsewhere."""
         self._numbers += 1
-        running = RunningMove(self._numbers, request, slot)
+        running = MovableRun(self._numbers, request, slot)
         if request.route.resumable:
             self._running[running.number] = running
         try:
@@ -161,7 +161,7 @@
             slot = self._slots.copy_to(running.slot, others[move.to])
             running.task = asyncio.ensure_future(self._move(running, slot))
 
-    async def _move(self, running: RunningMove, slot: Slot) -> Moved | None:
+    async def _move(self, running: MovableRun, slot: Slot) -> Moved | None:
         """Stops a stream at its engine and copies its memory to another."""
         engine, request = running.slot.upstream, running.request
         call = self._engines.move(request.facts.id, slot.upstream.record.address)
--- a/wasabimux/relay/slots.py
+++ b/wasabimux/relay/slots.py
@@ -326,7 +326,7 @@
         try:
             await engine.call(call)
         except UpstreamLost as error:
-            self._timeline.record("hold_kept", upstream=engine.id, error=error)
+            self._timeline.record("not_freed", upstream=engine.id, error=error)
 
     def _running(self, request: RelayRequest) -> RunningStream:
         """Returns what is expected of a stream that starts now."""
