Pass over relays that the store turns away when a duty is given

In short: the relay first in line for orders of phases could not reach the store, the others heard it and left the duty to it; no engine read prompts for 20 s.

--- a/tests/test_relay_duty.py
+++ b/tests/test_relay_duty.py
@@ -10,7 +10,7 @@
 
 from wasabimux.platform.standins.store import StandInStore
 from wasabimux.platform.store import PlatformStore
-from wasabimux.relay.duty import ACT_PART, TAKE_LEASES, Duty, boot_time_s
+from wasabimux.relay.duty import ACT_PART, TAKE_LEASES, UNSURE_S, Duty, boot_time_s
 from wasabimux.settings.address import parse_address
 from wasabimux.timeline import Timeline
 
@@ -68,6 +68,19 @@
     assert not await holders.first.hold()
 
 
+async def test_a_holder_without_an_answer_is_unsure_for_a_while(
+    holders: Holders,
+) -> None:
+    assert await holders.first.hold()
+    assert not holders.first.is_unsure(boot_time_s())
+    holders.store.available = False
+    await asyncio.sleep(ACT_PART * LEASE_S)
+    assert not await holders.first.hold()
+    now = boot_time_s()
+    assert holders.first.is_unsure(now)
+    assert not holders.first.is_unsure(now + UNSURE_S)
+
+
 async def test_a_write_without_an_answer_gives_no_right_to_act(
     holders: Holders,
 ) -> None:
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -221,6 +221,27 @@
     assert sorted(granted) == [False, True]
 
 
+async def test_only_relays_that_the_store_answers_take_duties(
+    pair: RelayWorld,
+) -> None:
+    """Failed first: the relay first in line gave no orders, as the store refused it.
+
+    From fafl-wa's inc-c892: no prompt was read apart for 20 s.
+    """
+    meshes = [item.relay.mesh for item in pair.relays]
+
+    def able() -> set[int]:
+        now = loop_time()
+        return {len(mesh.live_addresses(now, in_touch=True)) for mesh in meshes}
+
+    await pair.eventually(lambda: able() == {3})
+    pair.store.available = False
+    await pair.eventually(lambda: able() == {0})
+    assert {len(mesh.live_addresses(loop_time())) for mesh in meshes} == {3}
+    pair.store.available = True
+    await pair.eventually(lambda: able() == {3})
+
+
 async def test_an_engine_at_which_two_peers_failed_is_not_tried(
     pair: RelayWorld,
 ) -> None:
--- a/wasabimux/link/_relay_codec.py
+++ b/wasabimux/link/_relay_codec.py
@@ -31,6 +31,7 @@
     """Writes what a relay uses."""
     use = builder.init("relayUse")
     use.waiting = min(message.waiting, RUNNING_MAX)
+    use.inTouch = message.in_touch
     use.ageMs = min(round(message.age_s * 1000), AGE_MS_MAX)
     workspaces = use.init("workspaces", len(message.workspaces))
     for target, share in zip(workspaces, message.workspaces):
@@ -107,6 +108,7 @@
         tuple(KindRevision(part.kind, part.revision) for part in use.revisions),
         use.waiting,
         use.ageMs / 1000,
+        use.inTouch,
     )
 
 
--- a/wasabimux/link/messages.py
+++ b/wasabimux/link/messages.py
@@ -276,6 +276,7 @@
         revisions: How far the sender follows the platform.
         waiting: Requests that wait for a decode slot.
         age_s: Time since the start of the sender.
+        in_touch: True if the platform's store answers the sender.
     """
 
     workspaces: tuple[WorkspaceUse, ...]
@@ -283,6 +284,7 @@
     revisions: tuple[KindRevision, ...]
     waiting: int
     age_s: float
+    in_touch: bool
 
 
 class RelayObject(NamedTuple):
--- a/wasabimux/link/wire.capnp
+++ b/wasabimux/link/wire.capnp
@@ -191,6 +191,7 @@
   revisions @2 :List(KindRevision); # how far the sender follows the platform
   waiting @3 :UInt16;     # requests that wait for a decode slot
   ageMs @4 :UInt32;       # time since the start of the sender
+  inTouch @5 :Bool;       # the platform's store answers the sender
 }
 
 struct RelayObject {
--- a/wasabimux/relay/duty.py
+++ b/wasabimux/relay/duty.py
@@ -18,6 +18,9 @@
 #: Part of the lease for which a holder acts without writing again.
 ACT_PART = 0.5
 
+#: Time after a call without an answer in which other relays should take the duty.
+UNSURE_S = 8.0
+
 #: Time without a write, in leases, after which another relay takes the duty.
 TAKE_LEASES = 1.7
 
@@ -56,11 +59,16 @@
         self._store = store
         self._timeline = timeline
         self._written_s = -lease_s
+        self._unsure_s = -UNSURE_S
 
     def may_act(self, now: float) -> bool:
         """Tells whether this relay may act at a boot time."""
         return self.fence > 0 and now - self._written_s < ACT_PART * self._lease_s
 
+    def is_unsure(self, now: float) -> bool:
+        """Tells whether the store left this relay without an answer not long ago."""
+        return now - self._unsure_s < UNSURE_S
+
     async def hold(self) -> bool:
         """Takes or keeps the duty; waits for a former holder's lease to lapse.
 
@@ -79,6 +87,7 @@
         except StoreUnavailable as error:
             self._timeline.record("duty_unsure", duty=self._name, error=error)
             self.fence = 0  # the write may have been done, or be done later
+            self._unsure_s = boot_time_s()
         return self.may_act(boot_time_s())
 
     async def _take(self) -> None:
--- a/wasabimux/relay/mesh.py
+++ b/wasabimux/relay/mesh.py
@@ -137,15 +137,23 @@
             and (peer.heard_s is None or now - peer.heard_s > 10 * USE_S)
         )
 
-    def live_addresses(self, now: float) -> list[str]:
-        """Returns the addresses of the relays that serve, this one included."""
+    def live_addresses(self, now: float, in_touch: bool = False) -> list[str]:
+        """Returns the addresses of the relays that serve, this one first.
+
+        Args:
+            now: Present time in s.
+            in_touch: True for only those that the platform's store answers.
+        """
         heard = [
             peer.address
             for peer in self.peers_by_address.values()
             if not peer.leaving
             and peer.heard_s is not None
             and now - peer.heard_s < 10 * USE_S
+            and not (in_touch and peer.use is not None and not peer.use.in_touch)
         ]
+        if in_touch and not self._own_use().in_touch:
+            return heard
         return [self._address, *heard]
 
     def send_to(self, address: str, message: Message) -> bool:
--- a/wasabimux/relay/phases.py
+++ b/wasabimux/relay/phases.py
@@ -13,7 +13,7 @@
 from wasabimux.decisions.placement import rendezvous_top
 from wasabimux.decisions.stream_estimates import StreamEstimates
 from wasabimux.ports import UpstreamLost
-from wasabimux.relay.duty import Duty
+from wasabimux.relay.duty import Duty, boot_time_s
 from wasabimux.relay.mesh import Mesh
 from wasabimux.relay.model import Phase, ServiceProfile
 from wasabimux.relay.placing import Placing
@@ -95,9 +95,12 @@
                     await self._look(service)
 
     def _is_first(self, now: float) -> bool:
-        """Tells whether this relay is the one to take the duty, if all hear all."""
-        live = self._mesh.live_addresses(now)
-        return rendezvous_top(b"phases", live, 1)[0] == self._address
+        """Tells whether this relay is the one to take the duty, if all hear all.
+
+        A relay that the store turns away could neither take the lease nor keep it.
+        """
+        able = self._mesh.live_addresses(now, in_touch=True)
+        return rendezvous_top(b"phases", able, 1) == [self._address]
 
     async def _look(self, service: ServiceProfile) -> None:
         now = loop_time()
@@ -133,6 +136,11 @@
         cost = self._estimates.cost(profile.memory_tokens, profile.slots)
         return next_change(engines, cost)
 
+    @property
+    def unsure(self) -> bool:
+        """True if the store left this relay's lease without an answer just now."""
+        return self._duty.is_unsure(boot_time_s())
+
     async def hold(self) -> bool:
         """Takes or keeps the duty to give orders; True if this relay has it now."""
         return await self._duty.hold()
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -331,6 +331,8 @@
             (),
             self.slots.waiting,
             now - self._started_s,
+            all(follower.reached for follower in self._followers)
+            and not self.phases.unsure,
         )
 
     def _in_touch(self) -> int:
