--- a/tests/test_aggregation.py
+++ b/tests/test_aggregation.py
@@ -87,7 +87,7 @@
     member.on_own_report(1, charges(50.0, reserved=5.0))
     member.on_own_report(2, charges(80.0, reserved=0.0))
     aggregator.on_report("m", 1, "zone-a", report(charges(50.0, 5.0), sequence=1), 0.1)
-    domain = aggregator.domain_report(charges(20.0, 2.0), ["m"], 1, True, 0.2)
+    domain = aggregator.domain_report(charges(20.0, 2.0), ["m"], 1, True, True, 0.2)
     fleet = aggregator.fleet_report(domain, 0.2)
     included = aggregator.member_sequence("m")
     assert included == 1
@@ -120,7 +120,7 @@
     message = report(charges(120.0), Scope.DOMAIN, relay_count=3)
     aggregator.on_report("b2", 1, "zone-b", message, silent_s)
     assert charged_by_others(aggregator, silent_s, True) == 120.0
-    domain = aggregator.domain_report(Usage(), [], 1, True, silent_s)
+    domain = aggregator.domain_report(Usage(), [], 1, True, True, silent_s)
     assert aggregator.fleet_report(domain, silent_s).silent_count == 0
 
 
@@ -138,7 +138,7 @@
 ) -> None:
     aggregator.on_report("m", 1, "zone-a", report(charges(0.0), sequence=1), 0.1)
     aggregator.on_report("n", 1, "zone-a", report(charges(70.0), sequence=1), 0.1)
-    domain = aggregator.domain_report(charges(30.0), ["m", "n"], 1, True, 0.2)
+    domain = aggregator.domain_report(charges(30.0), ["m", "n"], 1, True, True, 0.2)
     member.on_report("agg", 2, "zone-a", aggregator.fleet_report(domain, 0.2), 0.2)
     assert charged_by_others(member, 0.2, False) == 100.0
     member.on_report("n", 1, "zone-a", report(charges(70.0)), 0.3)
@@ -151,7 +151,7 @@
     message = report(charges(10.0, 6.0), Scope.DOMAIN, relay_count=3)
     aggregator.on_report("b1", 1, "zone-b", message, 0.0)
     silent_s = 1.1 * SILENT_AFTER_S
-    domain = aggregator.domain_report(Usage(), ["m"], 1, True, silent_s)
+    domain = aggregator.domain_report(Usage(), ["m"], 1, True, True, silent_s)
     fleet = aggregator.fleet_report(domain, silent_s)
     assert (fleet.relay_count, fleet.silent_count) == (5, 4)
     assert fleet.usage.bucket_by_workspace["ropes"] == BucketUsage(20.0, 10.0)
@@ -163,7 +163,7 @@
     aggregator.on_report("m", 1, "zone-a", report(charges(10.0)), 0.0)
     aggregator.on_leaving("m", 0.1)
     later_s = 2 * SILENT_AFTER_S
-    domain = aggregator.domain_report(Usage(), ["m"], 1, True, later_s)
+    domain = aggregator.domain_report(Usage(), ["m"], 1, True, True, later_s)
     assert (domain.relay_count, domain.silent_count) == (1, 0)
 
 
--- a/wasabimux/decisions/aggregation.py
+++ b/wasabimux/decisions/aggregation.py
@@ -61,6 +61,8 @@
         relay_count: Relays that the sum covers, silent ones included.
         silent_count: Relays among them that are silent.
         store_reachable: True if the platform's store answers the sender.
+        leads: True if the sender leads its failure domain; other aggregators hear of
+            changes later.
     """
 
     scope: Scope
@@ -70,6 +72,7 @@
     relay_count: int = 1
     silent_count: int = 0
     store_reachable: bool = True
+    leads: bool = False
 
 
 def choose_aggregators(
@@ -206,6 +209,7 @@
         addresses: Iterable[str],
         sequence: int,
         store_reachable: bool,
+        leads: bool,
         now: float,
     ) -> UsageReport:
         """Returns the sum of this failure domain, as one of its aggregators.
@@ -215,6 +219,7 @@
             addresses: Addresses of the other relays of the domain.
             sequence: Number of the report.
             store_reachable: True if the platform's store answers this relay.
+            leads: True if this relay leads its failure domain.
             now: Current time in s.
         """
         counts = self._domain_counts(addresses, now)
@@ -226,6 +231,7 @@
             counts.known,
             counts.silent,
             store_reachable,
+            leads,
         )
 
     def fleet_report(self, domain_report: UsageReport, now: float) -> UsageReport:
@@ -328,12 +334,13 @@
 
 
 def _best(heard: Iterable[_Heard], now: float) -> _Heard | None:
-    """Returns the report that misses the fewest relays, of these the latest."""
+    """Returns the report that misses the fewest relays, of these the lead's latest."""
     return max(
         (item for item in heard if now - item.heard_s <= GONE_AFTER_S),
         key=lambda item: (
             not item.is_silent(now),
             -item.report.silent_count,
+            item.report.leads,
             item.heard_s,
         ),
         default=None,
--- a/wasabimux/link/_relay_codec.py
+++ b/wasabimux/link/_relay_codec.py
@@ -44,6 +44,7 @@
     target.relays = report.relay_count
     target.silent = report.silent_count
     target.inTouch = report.store_reachable
+    target.leads = report.leads
     _encode_usage(target, report.usage)
     revisions = target.init("revisions", len(message.revisions))
     for item, (kind, revision) in zip(revisions, message.revisions):
@@ -79,6 +80,7 @@
         source.relays,
         source.silent,
         source.inTouch,
+        source.leads,
     )
     return RelayReport(
         report,
--- a/wasabimux/link/wire.capnp
+++ b/wasabimux/link/wire.capnp
@@ -229,6 +229,7 @@
   inTouch @8 :Bool;       # the platform's store answers the sender
   revisions @9 :List(KindRevision); # up to which the sender has observed objects
   aggregators @10 :List(Text); # of the sender's failure domain
+  leads @11 :Bool;        # the sender leads its failure domain
 }
 
 struct RelayObject {
--- a/wasabimux/relay/forwarding.py
+++ b/wasabimux/relay/forwarding.py
@@ -23,8 +23,8 @@
     Attributes:
         revision_by_kind: Revision up to which the peer has the objects of a kind, as it
             reported, or up to which they were pushed to it since.
-        lagging_since_s: Loop time in s at which the peer was first found to lag, or at
-            which objects were last forwarded to it, by kind of object.
+        lagging_since_s: Loop time in s of the change that the peer was first found to
+            lack, or at which objects were last forwarded to it, by kind of object.
     """
 
     revision_by_kind: dict[str, int] = field(default_factory=dict)
@@ -81,7 +81,8 @@
             if receiver.revision_by_kind.get(kind, 0) >= changed_revision:
                 receiver.lagging_since_s.pop(kind, None)
                 continue
-            lagging_since_s = receiver.lagging_since_s.setdefault(kind, now)
+            changed_s = self._view.changed_s_by_kind[kind]
+            lagging_since_s = receiver.lagging_since_s.setdefault(kind, changed_s)
             if now - lagging_since_s >= FORWARD_AFTER_LAG_S:
                 receiver.lagging_since_s[kind] = now
                 known_revision = receiver.revision_by_kind.get(kind, 0)
--- a/wasabimux/relay/mesh.py
+++ b/wasabimux/relay/mesh.py
@@ -604,6 +604,7 @@
             addresses,
             self._sequence,
             self._store_reachable(),
+            self.leads(now),
             now,
         )
 
--- a/wasabimux/relay/view.py
+++ b/wasabimux/relay/view.py
@@ -45,6 +45,7 @@
         evacuated_domains: Failure domains that get no requests.
         revision_by_kind: Revision up to which each kind of object is complete.
         last_change_by_kind: Revision of the last known change of each kind of object.
+        changed_s_by_kind: Time in s at which that change became known.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         self.evacuated_domains: set[FailureDomainId] = set()
         self.revision_by_kind: dict[str, int] = {}
         self.last_change_by_kind: dict[str, int] = {}
+        self.changed_s_by_kind: dict[str, float] = {}
         self._documents = documents
         self._timeline = timeline
         self._on_change = on_change
@@ -127,6 +129,7 @@
             self._apply_object(kind, item.name, cache[item.name], keep_missing_until_s)
             last_change = max(self.last_change_by_kind.get(kind, 0), item_revision)
             self.last_change_by_kind[kind] = last_change
+            self.changed_s_by_kind[kind] = now
             changed = True
         self.revision_by_kind[kind] = max(self.revision_by_kind.get(kind, 0), revision)
         if changed:
