Follow the store over a restore from a copy

Cause: revisions were compared as plain numbers, so after a restore relays ignored what was written until revisions passed the old ones; a lease could be overwritten by a number given out again, fencing tokens fell, entries of relays vanished.

Change: a revision is the pair of era and number (header Store-Era), compared as a pair in the view, watches, what relays tell one another, leases and compare-and-set. Responses of an older era are dropped. After a restore objects are listed again; upstreams and evacuations that the copy lacks are kept 2.2 s, the time in which they are written again; an entry older than one known before (upstream that left, undone drain) is ignored until its upstream writes again. The higher version of the desired state stands and is offered to relays that read an older one. Relays write their entries again.

--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -19,6 +19,7 @@
 from wasabimux.decisions.shared_bucket import BucketUsage
 from wasabimux.decisions.usage_sums import UpstreamLoad, Usage
 from wasabimux.entry.peers import PeerLinks
+from wasabimux.ids import StoreRevision
 from wasabimux.link.link import LinkTraffic
 from wasabimux.platform.documents import PlatformDocumentDecoder
 from wasabimux.relay.mesh import STANDBY_REPORT_INTERVAL_S, Mesh, relay_hello
@@ -306,7 +307,7 @@
     async def scenario(fleet: MeshFleet) -> None:
         now = loop_time()
         for node in fleet.nodes:
-            node.view.apply_listing("servers", [], 5, now)
+            node.view.apply_listing("servers", [], StoreRevision(1, 5), now)
         await asyncio.sleep(1.0)
         informed = [
             node for node in fleet.nodes if node.mesh.is_informed_by_peer(loop_time())
@@ -314,8 +315,11 @@
         assert len(informed) == 40 - DOMAINS * AGGREGATORS_PER_DOMAIN
         entry = {"service": "desk", "address": "10.9.0.1:80", "zone": "zone-0"}
         entry |= {"state": "ready", "slots": 4, "version": 1}
-        change = ObjectChange(PlatformObject("desk-1", 9, entry), False)
-        fleet.lead_of("zone-0").view.apply_changes("servers", [change], 9, loop_time())
+        change = ObjectChange(
+            PlatformObject("desk-1", StoreRevision(1, 9), entry), False
+        )
+        lead = fleet.lead_of("zone-0")
+        lead.view.apply_changes("servers", [change], StoreRevision(1, 9), loop_time())
         await asyncio.sleep(MAX_NOTICE_S)
         assert all("desk-1" in node.view.objects("servers") for node in fleet.nodes)
 
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -18,6 +18,7 @@
 from wasabimux.decisions.memory_forecast import ZERO_FORECAST
 from wasabimux.decisions.phase_plan import PhaseChange
 from wasabimux.decisions.placement import rendezvous_top
+from wasabimux.ids import StoreRevision
 from wasabimux.link.link import Link
 from wasabimux.platform.documents import PlatformDocumentDecoder
 from wasabimux.platform.store import PlatformStoreClient
@@ -505,8 +506,8 @@
     three_relays.store.available = False
     first = three_relays.relays[0].relay
     newer = desired_state(version=9)
-    change = ObjectChange(PlatformObject("main", 900, newer), False)
-    first.view.apply_changes("config", [change], 900, loop.time())
+    change = ObjectChange(PlatformObject("main", StoreRevision(1, 900), newer), False)
+    first.view.apply_changes("config", [change], StoreRevision(1, 900), loop.time())
     await three_relays.wait_until(
         lambda: all(
             running.relay.view.desired_state is not None
@@ -514,8 +515,10 @@
             for running in three_relays.relays
         )
     )
-    older = ObjectChange(PlatformObject("main", 5, desired_state(version=2)), False)
-    first.view.apply_changes("config", [older], 5, loop.time())
+    older = ObjectChange(
+        PlatformObject("main", StoreRevision(1, 5), desired_state(version=2)), False
+    )
+    first.view.apply_changes("config", [older], StoreRevision(1, 5), loop.time())
     assert (
         first.view.desired_state is not None and first.view.desired_state.version == 9
     )
@@ -741,7 +744,7 @@
         for error in failures:
             raise error
 
-    monkeypatch.setattr(relay.view, "drop_expired_upstreams", lambda now: fail_once())
+    monkeypatch.setattr(relay.view, "drop_expired", lambda now: fail_once())
     await cluster.wait_until(
         lambda: any(
             event.name == "task_failed" for event in cluster.relays[0].timeline.events()
--- a/tests/test_relay_platform.py
+++ b/tests/test_relay_platform.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.relay_fixtures import desired_state
-from wasabimux.ids import UpstreamId, WorkspaceId
+from wasabimux.ids import StoreRevision, UpstreamId, WorkspaceId
 from wasabimux.platform.documents import decode_desired_state, decode_upstream
 from wasabimux.platform.engine import PlatformEngineCodec
 from wasabimux.platform.headers import PlatformHeaderCodec
@@ -127,8 +127,9 @@
             revision = await client.create("own", "lease", {"holder": "a"})
             with pytest.raises(StoreConflict):
                 await client.create("own", "lease", {"holder": "b"})
+            older = revision._replace(number=revision.number - 1)
             with pytest.raises(StoreConflict):
-                await client.replace("own", "lease", {"holder": "b"}, revision - 1)
+                await client.replace("own", "lease", {"holder": "b"}, older)
             latest_revision = await client.replace(
                 "own", "lease", {"holder": "b"}, revision
             )
@@ -148,7 +149,7 @@
             await store.put("kind", "name", {})
             store.discard_history()
             with pytest.raises(HistoryLost):
-                await client.watch("kind", 1, 1.0)
+                await client.watch("kind", StoreRevision(1, 1), 1.0)
             store.drop_write_responses = True
             with pytest.raises(StoreUnavailable):
                 await client.create("own", "lost", {})
--- a/wasabimux/ids.py
+++ b/wasabimux/ids.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import secrets
-from typing import NewType
+from typing import NamedTuple, NewType
 
 RequestId = NewType("RequestId", str)
 WorkspaceId = NewType("WorkspaceId", str)
@@ -33,3 +33,24 @@
 def new_incarnation() -> Incarnation:
     """Returns a random incarnation number for a process that starts."""
     return Incarnation(secrets.randbits(INCARNATION_BITS) | 1)
+
+
+class StoreRevision(NamedTuple):
+    """Revision of the platform's store; revisions compare by era first.
+
+    A store that is restored from a copy loses its latest writes and gives their
+    revisions out again, so a revision alone does not tell which write is newer.
+
+    Attributes:
+        era: Number of the store's history; it rises with each restore.
+        number: Revision in that history.
+    """
+
+    era: int = 0
+    number: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.era}.{self.number}"
+
+
+NO_REVISION = StoreRevision()
--- a/wasabimux/link/_relay_codec.py
+++ b/wasabimux/link/_relay_codec.py
@@ -8,7 +8,9 @@
 from wasabimux.decisions.memory_forecast import ZERO_FORECAST
 from wasabimux.decisions.shared_bucket import BucketUsage
 from wasabimux.decisions.usage_sums import UpstreamLoad, Usage
+from wasabimux.ids import StoreRevision
 from wasabimux.link.messages import (
+    DesiredStateOffer,
     ForwardedObject,
     ForwardedObjects,
     KindRevision,
@@ -49,8 +51,9 @@
     revisions = target.init("revisions", len(message.revisions))
     for item, (kind, revision) in zip(revisions, message.revisions):
         item.kind = kind
-        item.revision = revision
+        item.era, item.revision = revision
     target.aggregators = list(message.aggregators)
+    target.desiredVersion = message.desired_version
 
 
 def _encode_usage(target: Any, usage: Usage) -> None:
@@ -84,8 +87,12 @@
     )
     return RelayReport(
         report,
-        tuple(KindRevision(entry.kind, entry.revision) for entry in source.revisions),
+        tuple(
+            KindRevision(entry.kind, _decode_revision(entry))
+            for entry in source.revisions
+        ),
         tuple(source.aggregators),
+        source.desiredVersion,
     )
 
 
@@ -138,16 +145,21 @@
     """Encodes forwarded platform objects."""
     forwarded = builder.init("relayObjects")
     forwarded.kind = message.kind
-    forwarded.revision = message.revision
+    forwarded.era, forwarded.revision = message.revision
     forwarded.whole = message.is_snapshot
     objects = forwarded.init("objects", len(message.objects))
     for target, (name, revision, deleted, value) in zip(objects, message.objects):
         target.name = name
-        target.revision = revision
+        target.era, target.revision = revision
         target.deleted = deleted
         target.value = value
 
 
+def encode_desired_state_offer(builder: Any, message: DesiredStateOffer) -> None:
+    """Encodes an offer of a desired state."""
+    builder.desiredOffer = message.document
+
+
 def encode_slot_release(builder: Any, message: SlotRelease) -> None:
     """Encodes the release of a slot."""
     builder.slotRelease = message.correlation_id
@@ -158,10 +170,16 @@
     forwarded = item.relayObjects
     return ForwardedObjects(
         forwarded.kind,
-        forwarded.revision,
+        _decode_revision(forwarded),
         forwarded.whole,
         tuple(
-            ForwardedObject(source.name, source.revision, source.deleted, source.value)
+            ForwardedObject(
+                source.name, _decode_revision(source), source.deleted, source.value
+            )
             for source in forwarded.objects
         ),
     )
+
+
+def _decode_revision(source: Any) -> StoreRevision:
+    return StoreRevision(source.era, source.revision)
--- a/wasabimux/link/codec.py
+++ b/wasabimux/link/codec.py
@@ -15,6 +15,7 @@
     decode_relay_report,
     decode_slot_grant_reply,
     decode_slot_grant_request,
+    encode_desired_state_offer,
     encode_forwarded_objects,
     encode_relay_identity,
     encode_relay_report,
@@ -26,6 +27,7 @@
     Cancel,
     Credit,
     Data,
+    DesiredStateOffer,
     EndStream,
     ForwardedObjects,
     FrameItem,
@@ -279,6 +281,7 @@
     SlotGrantRequest: encode_slot_grant_request,
     SlotGrantReply: encode_slot_grant_reply,
     SlotRelease: encode_slot_release,
+    DesiredStateOffer: encode_desired_state_offer,
     RelayLeaving: _encode_relay_leaving,
 }
 
@@ -397,6 +400,7 @@
     "relayObjects": decode_forwarded_objects,
     "slotAsk": decode_slot_grant_request,
     "slotAnswer": decode_slot_grant_reply,
+    "desiredOffer": lambda item: DesiredStateOffer(item.desiredOffer),
     "slotRelease": lambda item: SlotRelease(item.slotRelease),
     "relayLeaving": lambda item: RelayLeaving(),
     "claim": lambda item: ShardClaim(item.claim.shard, item.claim.epoch),
--- a/wasabimux/link/messages.py
+++ b/wasabimux/link/messages.py
@@ -9,6 +9,7 @@
 from wasabimux.decisions.aggregation import UsageReport
 from wasabimux.decisions.rate import GrantDecision, GrantReport
 from wasabimux.errors import ErrorCode, Ran, Refusal
+from wasabimux.ids import StoreRevision
 from wasabimux.ports import Headers
 
 PROTOCOL_VERSION = 1
@@ -243,7 +244,7 @@
     """Revision up to which a relay has observed the platform objects of one kind."""
 
     kind: str
-    revision: int
+    revision: StoreRevision
 
 
 class RelayIdentity(NamedTuple):
@@ -265,18 +266,20 @@
         report: The usage.
         revisions: Revisions up to which the sender has observed platform objects.
         aggregators: Addresses of the aggregators of the sender's failure domain.
+        desired_version: Version of the desired state that the sender has in force.
     """
 
     report: UsageReport
     revisions: tuple[KindRevision, ...] = ()
     aggregators: tuple[str, ...] = ()
+    desired_version: int = 0
 
 
 class ForwardedObject(NamedTuple):
     """A platform object, forwarded by a relay that has read it from the store."""
 
     name: str
-    revision: int
+    revision: StoreRevision
     deleted: bool
     value: bytes
 
@@ -292,11 +295,17 @@
     """
 
     kind: str
-    revision: int
+    revision: StoreRevision
     is_snapshot: bool
     objects: tuple[ForwardedObject, ...]
 
 
+class DesiredStateOffer(NamedTuple):
+    """Desired state that the sender has in force, as an encoded document."""
+
+    document: bytes
+
+
 class RelayLeaving(NamedTuple):
     """Announces that the sender is about to shut down gracefully."""
 
@@ -355,6 +364,7 @@
     RelayIdentity,
     RelayReport,
     ForwardedObjects,
+    DesiredStateOffer,
     RelayLeaving,
     SlotGrantRequest,
     SlotGrantReply,
--- a/wasabimux/link/wire.capnp
+++ b/wasabimux/link/wire.capnp
@@ -38,6 +38,7 @@
     relayIdentity @25 :RelayIdentity;
     relayReport @26 :RelayReport;
     slotRelease @27 :UInt32; # number of the SlotAsk whose slot the sender has released
+    desiredOffer @28 :Data; # document of the desired state that the sender has in force
   }
 }
 
@@ -186,6 +187,7 @@
 struct KindRevision {
   kind @0 :Text;
   revision @1 :UInt64;
+  era @2 :UInt64;         # number of the store's history
 }
 
 struct RelayUse {
@@ -230,6 +232,7 @@
   revisions @9 :List(KindRevision); # up to which the sender has observed objects
   aggregators @10 :List(Text); # of the sender's failure domain
   leads @11 :Bool;        # the sender leads its failure domain
+  desiredVersion @12 :UInt64; # of the desired state that the sender has in force
 }
 
 struct RelayObject {
@@ -237,6 +240,7 @@
   revision @1 :UInt64;
   deleted @2 :Bool;
   value @3 :Data;
+  era @4 :UInt64;
 }
 
 struct RelayObjects {
@@ -244,4 +248,5 @@
   revision @1 :UInt64;
   whole @2 :Bool;         # these are all objects of the kind
   objects @3 :List(RelayObject);
+  era @4 :UInt64;
 }
--- a/wasabimux/platform/documents.py
+++ b/wasabimux/platform/documents.py
@@ -203,6 +203,7 @@
     phase: Literal["prefill", "decode"] | None = None
     #: Start of this incarnation, in ms since the epoch; 0 if unknown.
     born: int = 0
+    sequence: int = 0
 
 
 def decode_desired_state(document: Any) -> Result[DesiredState, list[Finding]]:
@@ -261,6 +262,7 @@
             server.cold_remaining_ms / 1000,
             Phase(server.phase) if server.phase else None,
             server.born,
+            server.sequence,
         )
     )
 
--- a/wasabimux/platform/standins/store.py
+++ b/wasabimux/platform/standins/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import json
 from typing import Any, NamedTuple
 from urllib.parse import unquote
@@ -33,6 +34,13 @@
     event: dict[str, Any]
 
 
+class StoreCopy(NamedTuple):
+    """Copy of all objects of a store at a revision."""
+
+    revision: int
+    objects_by_kind: dict[str, dict[str, dict[str, Any]]]
+
+
 class StandInStore:
     """Keeps objects in memory and serves them over HTTP; a context manager.
 
@@ -44,6 +52,7 @@
             response.
         call_counts: Number of calls received, by method and kind.
         revision: Revision of the last change.
+        era: Number of the history; it rises with each restore from a copy.
     """
 
     def __init__(self) -> None:
@@ -52,6 +61,7 @@
         self.drop_write_responses = False
         self.call_counts: dict[tuple[str, str], int] = {}
         self.revision = 1
+        self.era = 1
         self._objects_by_kind: dict[str, dict[str, dict[str, Any]]] = {}
         self._history: list[_Change] = []
         self._discarded_revision = 0
@@ -85,6 +95,23 @@
         self._discarded_revision = self.revision
         self._history.clear()
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy of all objects, from which the store can be restored."""
+        return StoreCopy(self.revision, copy.deepcopy(self._objects_by_kind))
+
+    async def restore(self, saved: StoreCopy) -> None:
+        """Restores a copy: later writes are lost and their revisions given out again.
+
+        Watches that wait get 410, as do those from revisions that are lost.
+        """
+        self.era += 1
+        self.revision = saved.revision
+        self._objects_by_kind = copy.deepcopy(saved.objects_by_kind)
+        self._history.clear()
+        self._discarded_revision = saved.revision
+        async with self._changed:
+            self._changed.notify_all()
+
     def spec(self, kind: str, name: str) -> Any:
         """Returns the spec of an object, None if the object does not exist."""
         stored = self._objects_by_kind.get(kind, {}).get(name)
@@ -107,6 +134,11 @@
             self._changed.notify_all()
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
+        response = await self._respond(request)
+        response.headers.append((b"store-era", str(self.era).encode()))
+        return response
+
+    async def _respond(self, request: HttpRequest) -> HttpResponse:
         kind, _, name = request.path.removeprefix(OBJECTS_PATH).partition("/")
         kind, name = unquote(kind), unquote(name)
         key = (request.method, kind)
@@ -145,21 +177,22 @@
     async def _handle_watch(
         self, kind: str, after_revision: int, wait_ms: int
     ) -> HttpResponse:
+        era = self.era
         try:
             async with asyncio.timeout(wait_ms / 1000):
                 while self.withhold_watch_events or not self._events_after(
                     kind, after_revision
                 ):
-                    if (
-                        after_revision < self._discarded_revision
-                        and not self.withhold_watch_events
-                    ):
+                    is_lost = (
+                        after_revision < self._discarded_revision or self.era != era
+                    )
+                    if is_lost and not self.withhold_watch_events:
                         break
                     async with self._changed:
                         await self._changed.wait()
         except TimeoutError:
             pass
-        if after_revision < self._discarded_revision:
+        if after_revision < self._discarded_revision or after_revision > self.revision:
             return json_response(410, {})
         events = (
             []
--- a/wasabimux/platform/store.py
+++ b/wasabimux/platform/store.py
@@ -6,10 +6,11 @@
 import json
 import logging
 from collections.abc import Callable, Iterator
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import quote, urlencode
 
 from wasabimux.adapters.http_client import HttpClient
+from wasabimux.ids import NO_REVISION, StoreRevision
 from wasabimux.ports import Headers, StoreConflict, StoreUnavailable, UpstreamLost
 from wasabimux.relay.ports import (
     HistoryLost,
@@ -22,16 +23,34 @@
 #: Timeout of a response in s, in addition to the time for which the call itself waits.
 RESPONSE_TIMEOUT_S = 1.0
 
+#: Header of every response with the number of the store's history.
+ERA_HEADER = b"store-era"
+
 JSON_HEADERS: Headers = [(b"content-type", b"application/json")]
 
 
 logger = logging.getLogger("wasabimux.platform")
 
 
+class _Answer(NamedTuple):
+    """Response of the store.
+
+    Attributes:
+        status: HTTP status.
+        content: Decoded body.
+        era: Number of the store's history.
+    """
+
+    status: int
+    content: Any
+    era: int
+
+
 class PlatformStoreClient:
     """Calls the platform's store over HTTP; implements `ObjectStore`.
 
-    A context manager that closes its connections.
+    A context manager that closes its connections. Responses from before a restore of
+    the store, which may have been under way, are dropped.
 
     Args:
         host: IP address of the store.
@@ -40,6 +59,7 @@
 
     def __init__(self, host: str, port: int) -> None:
         self.on_call: Callable[[str, str], None] = lambda method, outcome: None
+        self.era = 0
         self._http = HttpClient(host, port)
 
     async def __aenter__(self) -> PlatformStoreClient:
@@ -52,57 +72,86 @@
         """Lists all objects of a kind, one page per call.
 
         The returned revision is that of the first page.
+
+        Raises:
+            StoreUnavailable: No valid response, or the store was restored meanwhile.
         """
         parameters = {"allowStale": "1"} if allow_stale else {}
         objects: list[PlatformObject] = []
-        first_revision = None
+        first_revision = NO_REVISION
         while True:
             query = f"?{urlencode(parameters)}" if parameters else ""
-            response = _check_response(*await self._call("GET", _path(kind) + query))
+            answer = await self._call("GET", _path(kind) + query)
+            response = _check_response(answer)
             page = response.get("items", [])
-            objects.extend(_decode_objects(page))
-            if first_revision is None:
-                first_revision = int(response["storeRevision"])
+            objects.extend(_decode_objects(page, answer.era))
+            if first_revision == NO_REVISION:
+                first_revision = _store_revision(answer)
+            elif first_revision.era != answer.era:
+                raise StoreUnavailable("restored while it was listed")
             if not response.get("more") or not page:
                 return ListedObjects(objects, first_revision)
             parameters["after"] = str(page[-1]["metadata"]["name"])
 
-    async def watch(self, kind: str, after: int, wait_s: float) -> ObjectChanges:
-        """Waits for changes after a revision, at most `wait_s`."""
-        query = urlencode({"watch": after, "waitMs": int(wait_s * 1000)})
-        status, content = await self._call("GET", f"{_path(kind)}?{query}", wait_s)
-        if status == 410:
+    async def watch(
+        self, kind: str, after: StoreRevision, wait_s: float
+    ) -> ObjectChanges:
+        """Waits for changes after a revision, at most `wait_s`.
+
+        Raises:
+            HistoryLost: The store has no such history, or no longer.
+        """
+        if after.era < self.era:
             raise HistoryLost(kind)
-        response = _check_response(status, content)
+        query = urlencode({"watch": after.number, "waitMs": int(wait_s * 1000)})
+        answer = await self._call("GET", f"{_path(kind)}?{query}", wait_s)
+        if answer.status == 410 or answer.era != after.era:
+            raise HistoryLost(kind)
+        response = _check_response(answer)
         changes = [
             ObjectChange(platform_object, bool(event.get("deleted")))
             for event in response.get("events", [])
-            for platform_object in _decode_objects([event.get("object")])
+            for platform_object in _decode_objects([event.get("object")], answer.era)
         ]
-        return ObjectChanges(changes, int(response["storeRevision"]))
+        return ObjectChanges(changes, _store_revision(answer))
 
-    async def create(self, kind: str, name: str, value: Any) -> int:
+    async def create(self, kind: str, name: str, value: Any) -> StoreRevision:
         """Creates an object and returns its revision."""
         document = {"metadata": {"name": name}, "spec": value}
-        return _decode_revision(*await self._call("POST", _path(kind), 0.0, document))
+        return _decode_revision(await self._call("POST", _path(kind), 0.0, document))
 
-    async def replace(self, kind: str, name: str, value: Any, revision: int) -> int:
-        """Replaces an object if it has the given revision; returns the new revision."""
-        document = {"metadata": {"name": name, "revision": revision}, "spec": value}
-        path = _path(kind, name)
-        return _decode_revision(*await self._call("PUT", path, 0.0, document))
+    async def replace(
+        self, kind: str, name: str, value: Any, revision: StoreRevision
+    ) -> StoreRevision:
+        """Replaces an object if it has the given revision; returns the new revision.
 
-    async def delete(self, kind: str, name: str, revision: int) -> None:
+        Raises:
+            StoreConflict: It has another revision, or the store was restored. The same
+                number may then stand for another write, which may have been replaced.
+        """
+        self._check_era(revision)
+        metadata = {"name": name, "revision": revision.number}
+        document = {"metadata": metadata, "spec": value}
+        answer = await self._call("PUT", _path(kind, name), 0.0, document)
+        self._check_era(revision)
+        return _decode_revision(answer)
+
+    async def delete(self, kind: str, name: str, revision: StoreRevision) -> None:
         """Deletes an object if it exists and has the given revision."""
-        path = f"{_path(kind, name)}?{urlencode({'revision': revision})}"
-        status, content = await self._call("DELETE", path)
-        if status != 404:
-            _decode_revision(status, content)
+        self._check_era(revision)
+        path = f"{_path(kind, name)}?{urlencode({'revision': revision.number})}"
+        answer = await self._call("DELETE", path)
+        if answer.status != 404:
+            _decode_revision(answer)
+
+    def _check_era(self, revision: StoreRevision) -> None:
+        if revision.era < self.era:
+            raise StoreConflict(0)
 
     async def _call(
         self, method: str, target: str, wait_s: float = 0.0, document: Any = None
-    ) -> tuple[int, Any]:
-        """Calls the store and returns the status and the decoded body of the response.
+    ) -> _Answer:
+        """Calls the store and returns its response.
 
         Args:
             method: HTTP method.
@@ -111,7 +160,8 @@
             document: JSON value to send, None for no body.
 
         Raises:
-            StoreUnavailable: The store sent no response, or a malformed one.
+            StoreUnavailable: The store sent no response, or one that is malformed or
+                from before a restore.
         """
         body = b"" if document is None else json.dumps(document).encode()
         headers = [] if document is None else JSON_HEADERS
@@ -126,7 +176,11 @@
             self.on_call(method, "lost")
             raise StoreUnavailable(f"{method}: {error or 'no response'}") from error
         self.on_call(method, f"status_{response.status}")
-        return response.status, _decode_json(body_bytes)
+        era = _read_era(response.headers, self.era)
+        if era < self.era:
+            raise StoreUnavailable(f"{method}: response from before a restore")
+        self.era = era
+        return _Answer(response.status, _decode_json(body_bytes), era)
 
 
 def _path(kind: str, name: str | None = None) -> str:
@@ -145,20 +199,43 @@
         return {}
 
 
-def _check_response(status: int, content: Any) -> Any:
+def _read_era(headers: Headers, known_era: int) -> int:
+    """Returns the era in a response; the known one if the response has none."""
+    text = next((value for name, value in headers if name == ERA_HEADER), None)
+    if text is None:
+        return known_era
+    try:
+        return int(text)
+    except ValueError:
+        logger.warning("event=era_unreadable value=%r", text[:32])
+        return known_era
+
+
+def _check_response(answer: _Answer) -> Any:
     """Returns the content of a successful read, raises StoreUnavailable otherwise."""
-    if status != 200 or not isinstance(content, dict) or "storeRevision" not in content:
-        raise StoreUnavailable(f"status {status}")
+    content = answer.content
+    if (
+        answer.status != 200
+        or not isinstance(content, dict)
+        or "storeRevision" not in content
+    ):
+        raise StoreUnavailable(f"status {answer.status}")
     return content
 
 
-def _decode_objects(items: list[Any]) -> Iterator[PlatformObject]:
+def _store_revision(answer: _Answer) -> StoreRevision:
+    return StoreRevision(answer.era, int(answer.content["storeRevision"]))
+
+
+def _decode_objects(items: list[Any], era: int) -> Iterator[PlatformObject]:
     """Yields the objects with a name, a revision and any value; skips invalid ones."""
     for item in items:
         try:
             metadata = item["metadata"]
             platform_object = PlatformObject(
-                metadata["name"], int(metadata["revision"]), item["spec"]
+                metadata["name"],
+                StoreRevision(era, int(metadata["revision"])),
+                item["spec"],
             )
         except (KeyError, TypeError, ValueError) as error:
             logger.warning("event=object_unreadable error=%r", error)
@@ -166,17 +243,18 @@
             yield platform_object
 
 
-def _decode_revision(status: int, content: Any) -> int:
-    """Returns the object's revision after a write, 0 if the response has none.
+def _decode_revision(answer: _Answer) -> StoreRevision:
+    """Returns the object's revision after a write, number 0 if the response has none.
 
     Raises:
         StoreConflict: The object has another revision or exists already.
         StoreUnavailable: The status is not that of a successful write.
     """
+    status, content, era = answer
     metadata = content.get("metadata", {}) if isinstance(content, dict) else {}
     revision = int(metadata.get("revision", 0)) if isinstance(metadata, dict) else 0
     if status == 409:
         raise StoreConflict(revision)
     if status not in (200, 201):
         raise StoreUnavailable(f"status {status}")
-    return revision
+    return StoreRevision(era, revision)
--- a/wasabimux/relay/forwarding.py
+++ b/wasabimux/relay/forwarding.py
@@ -6,9 +6,18 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from wasabimux.ids import NO_REVISION, StoreRevision
 from wasabimux.link.link import Link
-from wasabimux.link.messages import ForwardedObject, ForwardedObjects, KindRevision
-from wasabimux.relay.ports import ObjectChange, PlatformObject
+from wasabimux.link.messages import (
+    DesiredStateOffer,
+    ForwardedObject,
+    ForwardedObjects,
+    KindRevision,
+)
+from wasabimux.relay.ports import (
+    ObjectChange,
+    PlatformObject,
+)
 from wasabimux.relay.view import FleetView
 
 #: Time in s for which a peer may lag before newer objects are forwarded to it. Usually
@@ -23,11 +32,14 @@
     Attributes:
         revision_by_kind: Revision up to which the peer has the objects of a kind, as it
             reported, or up to which they were pushed to it since.
+        outdated_since_s: Loop time in s since which its desired state is outdated, or
+            at which the newer one was last offered; None if it is not outdated.
         lagging_since_s: Loop time in s of the change that the peer was first found to
             lack, or at which objects were last forwarded to it, by kind of object.
     """
 
-    revision_by_kind: dict[str, int] = field(default_factory=dict)
+    revision_by_kind: dict[str, StoreRevision] = field(default_factory=dict)
+    outdated_since_s: float | None = None
     lagging_since_s: dict[str, float] = field(default_factory=dict)
 
 
@@ -58,7 +70,7 @@
         if receiver is None:
             return
         for kind, changed_revision in self._view.last_change_by_kind.items():
-            known_revision = receiver.revision_by_kind.get(kind, 0)
+            known_revision = receiver.revision_by_kind.get(kind, NO_REVISION)
             if known_revision < changed_revision:
                 link.send(0, self._objects_since(kind, known_revision))
                 receiver.revision_by_kind[kind] = self._view.revision_by_kind[kind]
@@ -78,16 +90,42 @@
         receiver = self._receiver_by_address.setdefault(address, _Receiver())
         receiver.revision_by_kind = {item.kind: item.revision for item in revisions}
         for kind, changed_revision in self._view.last_change_by_kind.items():
-            if receiver.revision_by_kind.get(kind, 0) >= changed_revision:
+            if receiver.revision_by_kind.get(kind, NO_REVISION) >= changed_revision:
                 receiver.lagging_since_s.pop(kind, None)
                 continue
             changed_s = self._view.changed_s_by_kind[kind]
             lagging_since_s = receiver.lagging_since_s.setdefault(kind, changed_s)
             if now - lagging_since_s >= FORWARD_AFTER_LAG_S:
                 receiver.lagging_since_s[kind] = now
-                known_revision = receiver.revision_by_kind.get(kind, 0)
+                known_revision = receiver.revision_by_kind.get(kind, NO_REVISION)
                 link.send(0, self._objects_since(kind, known_revision))
 
+    def on_peer_desired_version(
+        self, address: str, link: Link, version: int, now: float
+    ) -> None:
+        """Offers the desired state in force to a peer that has an older one for long.
+
+        The revisions do not tell if a peer has read an older version from a store that
+        was restored.
+
+        Args:
+            address: Address of the peer.
+            link: Link to the peer.
+            version: Version of the desired state that the peer has in force.
+            now: Current time in s.
+        """
+        receiver = self._receiver_by_address.setdefault(address, _Receiver())
+        desired = self._view.desired_state
+        if desired is None or version >= desired.version:
+            receiver.outdated_since_s = None
+            return
+        if receiver.outdated_since_s is None:
+            receiver.outdated_since_s = now
+        if now - receiver.outdated_since_s >= FORWARD_AFTER_LAG_S:
+            receiver.outdated_since_s = now
+            document = json.dumps(self._view.desired_document).encode()
+            link.send(0, DesiredStateOffer(document))
+
     def apply(self, message: ForwardedObjects, now: float) -> None:
         """Applies objects that a peer has forwarded."""
         for item in message.objects:
@@ -97,9 +135,11 @@
             change = ObjectChange(platform_object, item.deleted)
             self._view.apply_changes(message.kind, [change], item.revision, now)
         revisions = self._view.revision_by_kind
-        revisions[message.kind] = max(revisions.get(message.kind, 0), message.revision)
+        revisions[message.kind] = max(
+            revisions.get(message.kind, NO_REVISION), message.revision
+        )
 
-    def _objects_since(self, kind: str, revision: int) -> ForwardedObjects:
+    def _objects_since(self, kind: str, revision: StoreRevision) -> ForwardedObjects:
         """Returns the objects of a kind that have changed after a revision."""
         objects = [
             ForwardedObject(
--- a/wasabimux/relay/mesh.py
+++ b/wasabimux/relay/mesh.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -24,6 +25,7 @@
 from wasabimux.entry.peers import PeerLinks
 from wasabimux.link.link import Link
 from wasabimux.link.messages import (
+    DesiredStateOffer,
     ForwardedObjects,
     Hello,
     KindRevision,
@@ -318,6 +320,8 @@
         peer.forgotten_s = None
         if isinstance(message, ForwardedObjects):
             self._forwarder.apply(message, now)
+        elif isinstance(message, DesiredStateOffer):
+            self._view.offer_desired_state(json.loads(message.document), now)
         elif isinstance(message, RelayReport):
             self._on_report(link, peer, message, now)
         elif isinstance(message, RelayLeaving):
@@ -387,6 +391,9 @@
             peer.address, peer.incarnation, peer.failure_domain, report, now
         )
         self._forwarder.on_peer_revisions(peer.address, link, message.revisions, now)
+        self._forwarder.on_peer_desired_version(
+            peer.address, link, message.desired_version, now
+        )
         leads = self.leads(now)
         if has_changed and leads and report.scope is Scope.RELAY:
             self._schedule(Scope.DOMAIN, Scope.FLEET)
@@ -558,7 +565,9 @@
             KindRevision(kind, revision)
             for kind, revision in self._view.revision_by_kind.items()
         )
-        return RelayReport(report, revisions, tuple(aggregators))
+        desired = self._view.desired_state
+        version = 0 if desired is None else desired.version
+        return RelayReport(report, revisions, tuple(aggregators), version)
 
     def _send_paced(
         self, peer: Peer, message: RelayReport, is_active: bool, now: float
--- a/wasabimux/relay/model.py
+++ b/wasabimux/relay/model.py
@@ -188,6 +188,8 @@
             of the entry.
         phase: Phase of a model engine, None for a non-generation HTTP service.
         started_ms: Start of this incarnation, in ms since the epoch; 0 if unknown.
+        sequence: Number of the entry, which rises with each write of this incarnation;
+            0 if unknown.
     """
 
     id: UpstreamId
@@ -199,6 +201,7 @@
     cold_s: float
     phase: Phase | None
     started_ms: int
+    sequence: int = 0
 
 
 class RequestMetadata(NamedTuple):
--- a/wasabimux/relay/object_watcher.py
+++ b/wasabimux/relay/object_watcher.py
@@ -10,8 +10,12 @@
 from collections.abc import Callable
 
 from wasabimux._clock import loop_time
+from wasabimux.ids import NO_REVISION, StoreRevision
 from wasabimux.ports import StoreUnavailable
-from wasabimux.relay.ports import HistoryLost, ObjectStore
+from wasabimux.relay.ports import (
+    HistoryLost,
+    ObjectStore,
+)
 from wasabimux.relay.view import FleetView
 from wasabimux.timeline import Timeline
 
@@ -88,11 +92,12 @@
     async def run(self) -> None:
         """Lists and watches until it is cancelled."""
         retry_s = FIRST_RETRY_S
-        revision = 0
+        revision = NO_REVISION
         while True:
-            if revision and self._is_informed():
+            if revision != NO_REVISION and self._is_informed():
                 await asyncio.sleep(INFORMED_CHECK_S)
-                revision = max(revision, self._view.revision_by_kind.get(self.kind, 0))
+                known_revision = self._view.revision_by_kind.get(self.kind, revision)
+                revision = max(revision, known_revision)
                 self.last_answer_s = loop_time()
                 continue
             try:
@@ -100,22 +105,23 @@
                 retry_s = FIRST_RETRY_S
             except HistoryLost:
                 self._timeline.record("history_lost", kind=self.kind, revision=revision)
-                revision = 0
+                revision = NO_REVISION
             except StoreUnavailable as error:
                 self._on_unavailable(error)
                 await asyncio.sleep(self._rng.uniform(retry_s / 2, retry_s))
                 retry_s = min(MAX_RETRY_S, retry_s * 2)
 
-    async def _fetch(self, revision: int) -> int:
+    async def _fetch(self, revision: StoreRevision) -> StoreRevision:
         """Lists the objects, or their changes since a revision.
 
         Args:
-            revision: Revision up to which the view is complete; 0 to list all objects.
+            revision: Revision up to which the view is complete; NO_REVISION to list all
+                objects.
 
         Returns:
             The revision up to which the view is complete now.
         """
-        if revision == 0:
+        if revision == NO_REVISION:
             listed = await self._store.list(self.kind)
             keep_missing_until_s = self._on_answer()
             self._view.apply_listing(
--- a/wasabimux/relay/ports.py
+++ b/wasabimux/relay/ports.py
@@ -7,7 +7,7 @@
 
 from expression import Result
 
-from wasabimux.ids import RequestId, UpstreamId
+from wasabimux.ids import RequestId, StoreRevision, UpstreamId
 from wasabimux.ports import Headers
 from wasabimux.relay.model import (
     DesiredState,
@@ -29,7 +29,7 @@
     """
 
     name: str
-    revision: int
+    revision: StoreRevision
     value: Any
 
 
@@ -49,18 +49,21 @@
     """All objects of one kind at a revision of the store."""
 
     objects: list[PlatformObject]
-    revision: int
+    revision: StoreRevision
 
 
 class ObjectChanges(NamedTuple):
     """Changes of the objects of one kind up to a revision of the store."""
 
     changes: list[ObjectChange]
-    revision: int
+    revision: StoreRevision
 
 
 class HistoryLost(Exception):
-    """The store no longer has the requested changes; list all objects again."""
+    """The store no longer has the requested changes; list all objects again.
+
+    The store has dropped its history, or was restored from a copy.
+    """
 
 
 class ObjectStore(Protocol):
@@ -70,9 +73,11 @@
 
     Attributes:
         on_call: Called after each call with the method and the outcome.
+        era: Highest era of the store in any response so far.
     """
 
     on_call: Callable[[str, str], None]
+    era: int
 
     async def list(self, kind: str, allow_stale: bool = False) -> ListedObjects:
         """Lists all objects of a kind.
@@ -82,7 +87,9 @@
             allow_stale: True if the list may be some seconds old, which costs less.
         """
 
-    async def watch(self, kind: str, after: int, wait_s: float) -> ObjectChanges:
+    async def watch(
+        self, kind: str, after: StoreRevision, wait_s: float
+    ) -> ObjectChanges:
         """Waits for changes after a revision.
 
         Args:
@@ -94,21 +101,24 @@
             HistoryLost: The store no longer has the changes after the revision.
         """
 
-    async def create(self, kind: str, name: str, value: Any) -> int:
+    async def create(self, kind: str, name: str, value: Any) -> StoreRevision:
         """Creates an object and returns its revision.
 
         Raises:
             StoreConflict: The object exists already.
         """
 
-    async def replace(self, kind: str, name: str, value: Any, revision: int) -> int:
+    async def replace(
+        self, kind: str, name: str, value: Any, revision: StoreRevision
+    ) -> StoreRevision:
         """Replaces an object and returns its new revision.
 
         Raises:
-            StoreConflict: The object does not have the given revision.
+            StoreConflict: The object does not have the given revision, or the store was
+                restored since; the write may then have replaced another one.
         """
 
-    async def delete(self, kind: str, name: str, revision: int) -> None:
+    async def delete(self, kind: str, name: str, revision: StoreRevision) -> None:
         """Deletes an object.
 
         Raises:
--- a/wasabimux/relay/registration.py
+++ b/wasabimux/relay/registration.py
@@ -11,6 +11,7 @@
 from wasabimux.ports import StoreConflict, StoreUnavailable
 from wasabimux.relay.mesh import Mesh
 from wasabimux.relay.ports import ObjectStore, PlatformObject
+from wasabimux.relay.view import FleetView
 from wasabimux.timeline import Timeline
 
 #: Longest delay in s before a failed registration is retried. Jitter shortens it by up
@@ -26,6 +27,9 @@
 AGGREGATOR_READ_INTERVAL_S = 10.0
 LOST_READ_INTERVAL_S = 2.0
 
+#: Time in s between checks whether the store was restored.
+ERA_CHECK_INTERVAL_S = 0.5
+
 
 class Registration:
     """Writes this relay's entry and finds the other relays by theirs.
@@ -39,6 +43,7 @@
         seeds: Addresses of relays to link to even while the store does not answer.
         store: The platform's store.
         mesh: Receives the relays found.
+        view: Tells when the store was restored, which may have lost the entry.
         timeline: Records successful and failed registrations.
         rng: Source of jitter.
 
@@ -54,6 +59,7 @@
         seeds: Sequence[str],
         store: ObjectStore,
         mesh: Mesh,
+        view: FleetView,
         timeline: Timeline,
         rng: random.Random,
     ) -> None:
@@ -67,6 +73,8 @@
         self._seeds = seeds
         self._store = store
         self._mesh = mesh
+        self._view = view
+        self._registered_era = 0
         self._timeline = timeline
         self._rng = rng
 
@@ -74,18 +82,27 @@
         """Registers this relay, then reads the others' entries until cancelled."""
         for seed in self._seeds:
             self._mesh.add_peer(seed)
-        while not self.done:
+        await self._register_with_retries()
+        await asyncio.sleep(self._rng.uniform(0.5, 1.0) * SECOND_READ_S)
+        await self._refresh(allow_stale=False)
+        next_read_s = loop_time() + self._next_read_delay_s(loop_time())
+        while True:
+            await asyncio.sleep(ERA_CHECK_INTERVAL_S)
+            if self._view.era > self._registered_era:
+                await self._register_with_retries()
+            if loop_time() >= next_read_s:
+                next_read_s = loop_time() + self._next_read_delay_s(loop_time())
+                if self._should_read(loop_time()):
+                    await self._refresh(allow_stale=True)
+
+    async def _register_with_retries(self) -> None:
+        while True:
             try:
                 await self._register()
+                return
             except (StoreUnavailable, StoreConflict) as error:
                 self._timeline.record("registration_failed", error=error)
                 await asyncio.sleep(self._rng.uniform(RETRY_S / 2, RETRY_S))
-        await asyncio.sleep(self._rng.uniform(0.5, 1.0) * SECOND_READ_S)
-        await self._refresh(allow_stale=False)
-        while True:
-            await asyncio.sleep(self._next_read_s(loop_time()))
-            if self._should_read(loop_time()):
-                await self._refresh(allow_stale=True)
 
     async def _register(self) -> None:
         """Writes the entry of this relay, then reads those of the others.
@@ -104,10 +121,11 @@
                 self._kind, self._instance, self._value, own.revision
             )
         self._add_peers(listed.objects)
+        self._registered_era = listed.revision.era
         self.done = True
         self._timeline.record("registered", peers=len(listed.objects) - 1)
 
-    def _next_read_s(self, now: float) -> float:
+    def _next_read_delay_s(self, now: float) -> float:
         """Returns the time in s until this relay may have to read the entries."""
         longest_s = LOST_READ_INTERVAL_S
         if self._mesh.is_aggregator(now):
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -224,6 +224,7 @@
             settings.seeds,
             platform.store,
             self.mesh,
+            self.view,
             timeline,
             rng,
         )
@@ -235,6 +236,7 @@
                 settings.order_lease_ms / 1000,
                 platform.store,
                 timeline,
+                lambda: self.view.era,
             ),
             self.view,
             self.selector,
@@ -420,7 +422,7 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             now = loop_time()
             self._update_gauges(now, now - check_started_s - CHECK_INTERVAL_S)
-            self.view.drop_expired_upstreams(now)
+            self.view.drop_expired(now)
             relay_count, silent_count = self.mesh.relay_counts()
             all_heard = self._registration.done and not silent_count
             self.membership_settled = all_heard or now - started_s > MEMBERSHIP_SETTLE_S
--- a/wasabimux/relay/view.py
+++ b/wasabimux/relay/view.py
@@ -2,6 +2,9 @@
 
 Objects come from the platform's store or from peers. Each has a revision, and an older
 revision never replaces a newer one, so the order in which they arrive does not matter.
+
+The store may be restored from a copy that lacks its latest writes. Those who wrote them
+write them again; until then, what was known before holds where it is the safer belief.
 """
 
 from __future__ import annotations
@@ -10,9 +13,13 @@
 from typing import Any, NamedTuple
 
 from wasabimux.decisions.route_table import RouteTable
-from wasabimux.ids import FailureDomainId, UpstreamId
+from wasabimux.ids import NO_REVISION, FailureDomainId, StoreRevision, UpstreamId
 from wasabimux.relay.model import DesiredState, RelayRoute, UpstreamRecord
-from wasabimux.relay.ports import DocumentDecoder, ObjectChange, PlatformObject
+from wasabimux.relay.ports import (
+    DocumentDecoder,
+    ObjectChange,
+    PlatformObject,
+)
 from wasabimux.timeline import Timeline
 
 
@@ -25,11 +32,31 @@
         value: The object's document.
     """
 
-    revision: int
+    revision: StoreRevision
     deleted: bool
     value: Any
 
 
+#: Time in s after a restore of the store within which objects that it lacks are written
+#: again, if whoever wrote them still wants them.
+REWRITE_GRACE_S = 2.2
+
+#: Time in s for which the last entry of a removed upstream is remembered.
+REMOVED_ENTRY_MEMORY_S = 60.0
+
+
+class _LastEntry(NamedTuple):
+    """The newest known entry of an upstream, which may have been removed since.
+
+    Attributes:
+        record: The decoded entry.
+        removed_s: Time in s at which the upstream was dropped, None if it is in use.
+    """
+
+    record: UpstreamRecord
+    removed_s: float | None
+
+
 class FleetView:
     """Caches the newest known objects and the state decoded from them.
 
@@ -43,6 +70,7 @@
         routes: Table of the routes in the desired state.
         upstream_by_id: Entries of all upstreams.
         evacuated_domains: Failure domains that get no requests.
+        era: Era of the newest known revision.
         revision_by_kind: Revision up to which each kind of object is complete.
         last_change_by_kind: Revision of the last known change of each kind of object.
         changed_s_by_kind: Time in s at which that change became known.
@@ -58,14 +86,18 @@
         self.routes: RouteTable[RelayRoute] = RouteTable(())
         self.upstream_by_id: dict[UpstreamId, UpstreamRecord] = {}
         self.evacuated_domains: set[FailureDomainId] = set()
-        self.revision_by_kind: dict[str, int] = {}
-        self.last_change_by_kind: dict[str, int] = {}
+        self.era = 0
+        self.revision_by_kind: dict[str, StoreRevision] = {}
+        self.last_change_by_kind: dict[str, StoreRevision] = {}
         self.changed_s_by_kind: dict[str, float] = {}
         self._documents = documents
         self._timeline = timeline
         self._on_change = on_change
         self._objects_by_kind: dict[str, dict[str, CachedObject]] = {}
         self._keep_until_s_by_name: dict[str, float] = {}
+        self._keep_evacuated_until_s: dict[FailureDomainId, float] = {}
+        self._last_entry_by_id: dict[UpstreamId, _LastEntry] = {}
+        self._desired_document: Any = None
 
     def objects(self, kind: str) -> dict[str, CachedObject]:
         """Returns the cached objects of a kind by name, deleted ones included."""
@@ -75,7 +107,7 @@
         self,
         kind: str,
         objects: Iterable[PlatformObject],
-        revision: int,
+        revision: StoreRevision,
         now: float,
         keep_missing_until_s: float | None = None,
     ) -> None:
@@ -102,7 +134,7 @@
         self,
         kind: str,
         changes: Iterable[ObjectChange],
-        revision: int,
+        revision: StoreRevision,
         now: float,
         keep_missing_until_s: float | None = None,
     ) -> None:
@@ -117,6 +149,7 @@
         """
         cache = self.objects(kind)
         changed = False
+        self._on_era(revision.era)
         for item, deleted in changes:
             item_revision = max(item.revision, revision) if deleted else item.revision
             cached = cache.get(item.name)
@@ -125,18 +158,46 @@
                 or (item_revision == cached.revision and deleted == cached.deleted)
             ):
                 continue
+            keep_until_s = keep_missing_until_s
+            if cached is not None and item_revision.era > cached.revision.era:
+                keep_until_s = max(keep_until_s or 0.0, now + REWRITE_GRACE_S)
             cache[item.name] = CachedObject(item_revision, deleted, item.value)
-            self._apply_object(kind, item.name, cache[item.name], keep_missing_until_s)
-            last_change = max(self.last_change_by_kind.get(kind, 0), item_revision)
-            self.last_change_by_kind[kind] = last_change
+            self._apply_object(kind, item.name, cache[item.name], keep_until_s, now)
+            last_change = self.last_change_by_kind.get(kind, NO_REVISION)
+            self.last_change_by_kind[kind] = max(last_change, item_revision)
             self.changed_s_by_kind[kind] = now
             changed = True
-        self.revision_by_kind[kind] = max(self.revision_by_kind.get(kind, 0), revision)
+        known_revision = self.revision_by_kind.get(kind, NO_REVISION)
+        self.revision_by_kind[kind] = max(known_revision, revision)
         if changed:
             self._on_change(now)
 
-    def drop_expired_upstreams(self, now: float) -> None:
-        """Drops upstreams whose entries were not written again after an outage."""
+    def offer_desired_state(self, document: Any, now: float) -> None:
+        """Applies a desired state that a peer has in force, if its version is higher.
+
+        After a restore the store may hold an older version than relays know.
+        """
+        version = 0 if self.desired_state is None else self.desired_state.version
+        self._apply_desired_state(CachedObject(NO_REVISION, False, document))
+        if self.desired_state is not None and self.desired_state.version > version:
+            self._on_change(now)
+
+    @property
+    def desired_document(self) -> Any:
+        """Document of the desired state in force, None before the first one."""
+        return self._desired_document
+
+    def drop_expired(self, now: float) -> None:
+        """Drops what was not written again after an outage or restore of the store."""
+        for domain, until_s in list(self._keep_evacuated_until_s.items()):
+            if until_s <= now:
+                del self._keep_evacuated_until_s[domain]
+                self._take_back(domain, NO_REVISION)
+        self._last_entry_by_id = {
+            upstream: entry
+            for upstream, entry in self._last_entry_by_id.items()
+            if entry.removed_s is None or now - entry.removed_s < REMOVED_ENTRY_MEMORY_S
+        }
         expired = [
             name
             for name, until_s in self._keep_until_s_by_name.items()
@@ -144,24 +205,33 @@
         ]
         for name in expired:
             del self._keep_until_s_by_name[name]
-            self._drop_upstream(UpstreamId(name), "entry_lapsed")
+            self._drop_upstream(UpstreamId(name), "entry_lapsed", now)
         if expired:
             self._on_change(now)
 
+    def _on_era(self, era: int) -> None:
+        if era <= self.era:
+            return
+        if self.revision_by_kind:
+            self._timeline.record("store_restored", era=era, known_era=self.era)
+        self.era = era
+
     def _apply_object(
         self,
         kind: str,
         name: str,
         cached: CachedObject,
         keep_missing_until_s: float | None,
+        now: float,
     ) -> None:
         kinds = self._documents.kinds
         if kind == kinds.desired_state and name == kinds.desired_state_name:
             self._apply_desired_state(cached)
         elif kind == kinds.upstreams:
-            self._apply_upstream(name, cached, keep_missing_until_s)
+            self._apply_upstream(name, cached, keep_missing_until_s, now)
         elif kind == kinds.evacuations:
-            self._apply_evacuation(FailureDomainId(name), cached)
+            domain = FailureDomainId(name)
+            self._apply_evacuation(domain, cached, keep_missing_until_s)
 
     def _apply_desired_state(self, cached: CachedObject) -> None:
         if cached.deleted:
@@ -179,6 +249,7 @@
         ):
             return
         self.desired_state = desired
+        self._desired_document = cached.value
         self.routes = RouteTable(desired.routes)
         self._timeline.record(
             "desired_state_in_force",
@@ -188,7 +259,11 @@
         )
 
     def _apply_upstream(
-        self, name: str, cached: CachedObject, keep_missing_until_s: float | None
+        self,
+        name: str,
+        cached: CachedObject,
+        keep_missing_until_s: float | None,
+        now: float,
     ) -> None:
         upstream = UpstreamId(name)
         if cached.deleted:
@@ -196,18 +271,22 @@
                 self._keep_until_s_by_name.setdefault(name, keep_missing_until_s)
                 self._timeline.record("upstream_entry_missing", upstream=name)
             elif name not in self._keep_until_s_by_name:
-                self._drop_upstream(upstream, "entry_removed")
+                self._drop_upstream(upstream, "entry_removed", now)
             return
-        self._keep_until_s_by_name.pop(name, None)
         decoded = self._documents.upstream(name, cached.value)
         if decoded.is_error():
             for finding in decoded.error:
                 self._timeline.record(
                     "upstream_refused", upstream=name, finding=finding
                 )
-            self._drop_upstream(upstream, "entry_unreadable")
+            self._drop_upstream(upstream, "entry_unreadable", now)
             return
         record, previous = decoded.ok, self.upstream_by_id.get(upstream)
+        if self._is_outdated(record):
+            self._timeline.record("outdated_entry_ignored", upstream=name)
+            return
+        self._keep_until_s_by_name.pop(name, None)
+        self._last_entry_by_id[upstream] = _LastEntry(record, None)
         self.upstream_by_id[upstream] = record
         if (
             previous is None
@@ -225,17 +304,44 @@
                 revision=cached.revision,
             )
 
-    def _drop_upstream(self, upstream: UpstreamId, reason: str) -> None:
-        if self.upstream_by_id.pop(upstream, None) is not None:
+    def _is_outdated(self, record: UpstreamRecord) -> bool:
+        """Returns whether an entry is older than one that was known before.
+
+        A restore may bring back the entry of an upstream that has left, or one from
+        before its drain. An upstream that is alive writes its entry again.
+        """
+        last = self._last_entry_by_id.get(record.id)
+        if last is None or not record.sequence:
+            return False
+        age = (record.started_ms, record.sequence)
+        last_age = (last.record.started_ms, last.record.sequence)
+        return age < last_age or (age == last_age and last.removed_s is not None)
+
+    def _drop_upstream(self, upstream: UpstreamId, reason: str, now: float) -> None:
+        record = self.upstream_by_id.pop(upstream, None)
+        if record is not None:
+            self._last_entry_by_id[upstream] = _LastEntry(record, now)
             self._timeline.record("upstream_gone", upstream=upstream, reason=reason)
 
-    def _apply_evacuation(self, domain: FailureDomainId, cached: CachedObject) -> None:
-        if cached.deleted:
-            self.evacuated_domains.discard(domain)
-        else:
+    def _apply_evacuation(
+        self,
+        domain: FailureDomainId,
+        cached: CachedObject,
+        keep_missing_until_s: float | None,
+    ) -> None:
+        if not cached.deleted:
+            self._keep_evacuated_until_s.pop(domain, None)
             self.evacuated_domains.add(domain)
+            self._timeline.record(
+                "domain_evacuated", failure_domain=domain, revision=cached.revision
+            )
+        elif keep_missing_until_s is not None and domain in self.evacuated_domains:
+            self._keep_evacuated_until_s[domain] = keep_missing_until_s
+        else:
+            self._take_back(domain, cached.revision)
+
+    def _take_back(self, domain: FailureDomainId, revision: StoreRevision) -> None:
+        self.evacuated_domains.discard(domain)
         self._timeline.record(
-            "domain_evacuated" if not cached.deleted else "domain_taken_back",
-            failure_domain=domain,
-            revision=cached.revision,
+            "domain_taken_back", failure_domain=domain, revision=revision
         )
