Bound what servers may send, and stop without cutting what has arrived

Idle connections are watched now, and the socket is looked at before reuse. - A body without end was read whole into memory; interim responses were read until the time limit; an event without end was buffered. All three have bounds now; heads, chunk sizes and trailers had them (h11). - Comments kept a stalled stream open: only events with a field are progress. - A planned stop closed kept connections with a request in their buffer, and listeners with connections not accepted yet. Both are served now.

Tests: tests/test_upstream_faults.py.

--- a/wasabimux/adapters/http_client.py
+++ b/wasabimux/adapters/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from collections.abc import AsyncIterator
 from typing import Any, Protocol
@@ -16,6 +17,12 @@
 MAX_HEAD_BYTES = 32 * 1024
 MAX_IDLE_CONNECTIONS = 64
 
+#: Most interim responses before the final one.
+MAX_INTERIM_RESPONSES = 8
+
+#: Most bytes of a response body that is read as a whole.
+MAX_WHOLE_BODY_BYTES = 8 * 1024 * 1024
+
 #: TCP keep-alive probes of idle connections, which detect unresponsive peers.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -73,8 +80,20 @@
                 )
 
     async def body(self) -> bytes:
-        """Returns the whole body."""
-        return b"".join([chunk async for chunk in self.pieces()])
+        """Returns the whole body.
+
+        Raises:
+            UpstreamLost: The connection ended before the response, or the body has more
+                than MAX_WHOLE_BODY_BYTES.
+        """
+        chunks: list[bytes] = []
+        size = 0
+        async for chunk in self.pieces():
+            size += len(chunk)
+            if size > MAX_WHOLE_BODY_BYTES:
+                raise UpstreamLost("the response body is too large", sent=True)
+            chunks.append(chunk)
+        return b"".join(chunks)
 
     def close(self) -> None:
         """Returns the connection to the pool; further calls have no effect."""
@@ -126,10 +145,9 @@
         Raises:
             UpstreamLost: No response; `sent` is True if the request may have run.
         """
-        reused = idempotent and bool(self._idle_connections)
-        if reused:
-            connection = self._idle_connections.pop()
-        else:
+        connection = await self._take_idle() if idempotent else None
+        reused = connection is not None
+        if connection is None:
             connection = await ClientConnection.connect(self._host, self._port)
         try:
             head = await connection.send_request(
@@ -146,6 +164,15 @@
             raise
         return ClientResponse(self, connection, head)
 
+    async def _take_idle(self) -> ClientConnection | None:
+        """Returns an idle connection on which nothing has arrived, None without one."""
+        while self._idle_connections:
+            connection = self._idle_connections.pop()
+            if await connection.stop_idle_watch():
+                return connection
+            connection.close()
+        return None
+
     def release(self, connection: ClientConnection, complete: bool) -> None:
         """Keeps a connection if its response is complete, else closes it."""
         if (
@@ -153,6 +180,7 @@
             and connection.start_next_cycle()
             and len(self._idle_connections) < MAX_IDLE_CONNECTIONS
         ):
+            connection.start_idle_watch()
             self._idle_connections.append(connection)
         else:
             connection.close()
@@ -210,7 +238,7 @@
             self._writer.write(data)
         except OSError as error:
             raise UpstreamLost(str(error), sent=True) from error
-        while True:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self.next_event()
             if isinstance(event, h11.Response):
                 return event
@@ -218,6 +246,7 @@
                 raise UpstreamLost(
                     "connection closed before the head of the response", sent=True
                 )
+        raise UpstreamLost("too many interim responses", sent=True)
 
     async def next_event(self) -> Any:
         """Returns the next h11 event of the response."""
@@ -252,7 +281,11 @@
             return not self._writer.is_closing()
         idle_watch.cancel()
         await asyncio.wait({idle_watch})
-        return idle_watch.cancelled() and not self._writer.is_closing()
+        return (
+            idle_watch.cancelled()
+            and not self._writer.is_closing()
+            and not has_unread_data(self._writer)
+        )
 
     @property
     def is_alive(self) -> bool:
@@ -272,6 +305,21 @@
         return self._writer.transport.get_write_buffer_size() > 0
 
 
+def has_unread_data(writer: asyncio.StreamWriter) -> bool:
+    """Returns whether data or the end of a connection waits in its socket buffer."""
+    connection: socket.socket | None = writer.get_extra_info("socket")
+    if connection is None or connection.fileno() < 0:
+        return False
+    return is_readable(connection.fileno())
+
+
+def is_readable(file_number: int) -> bool:
+    """Returns whether a socket has data, or a connection to accept, without waiting."""
+    poll = select.poll()
+    poll.register(file_number, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def enable_keepalive(writer: asyncio.StreamWriter) -> None:
     """Enables TCP keep-alive, so that the kernel detects an unresponsive peer."""
     connection: socket.socket | None = writer.get_extra_info("socket")
--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -14,6 +14,7 @@
 
 import h11
 
+from wasabimux.adapters.http_client import has_unread_data, is_readable
 from wasabimux.errors import ErrorCode, Refusal, RefusedError, refused
 from wasabimux.ports import Headers
 
@@ -22,6 +23,13 @@
 LISTEN_BACKLOG = 512
 WRITE_BUFFER_BYTES = 64 * 1024
 
+#: Most cycles of the event loop in which connections are accepted before a listener
+#: closes.
+MAX_ACCEPT_ROUNDS = 64
+
+#: Cycles of the event loop after which an accepted connection is being served.
+CONNECTION_START_CYCLES = 4
+
 #: Maximum time to wait for a client that does not read a response, in s.
 WRITE_TIMEOUT_S = 60.0
 
@@ -174,6 +182,7 @@
         """
         self.draining = True
         if self._server is not None:
+            await _accept_waiting(self._server)
             self._server.close()
         for connection in list(self._connections):
             connection.close_if_idle()
@@ -241,21 +250,33 @@
                 return
 
     def close_if_idle(self) -> None:
-        """Closes the connection unless a request is running on it."""
-        if not self._busy:
+        """Closes the connection unless a request runs on it or has begun to arrive."""
+        if not self._busy and not self._has_request_begun():
             self._writer.close()
 
+    def _has_request_begun(self) -> bool:
+        """Returns whether data waits to be read, in this process or in the socket."""
+        return (
+            bool(self._http.trailing_data[0])
+            or bool(self._reader._buffer)  # type: ignore[attr-defined]
+            or has_unread_data(self._writer)
+        )
+
     def abort(self) -> None:
         """Aborts the connection immediately."""
         self._writer.transport.abort()
 
     def _prepare_next_request(self) -> bool:
-        if self._server.draining or self._http.our_state is not h11.DONE:
+        """Prepares for the next request; returns False if the connection must end.
+
+        In a drain, a client that was not told of the end may have sent a request.
+        """
+        if self._http.our_state is not h11.DONE:
             return False
         if self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
-        return True
+        return not self._server.draining or self._has_request_begun()
 
     async def _read_head(self) -> HttpRequest | None:
         """Returns the next request after reading its head, or None if there is none."""
@@ -422,6 +443,16 @@
             await self._writer.drain()
 
 
+async def _accept_waiting(server: asyncio.Server) -> None:
+    """Accepts the connections that were opened before the listener closes."""
+    for _ in range(MAX_ACCEPT_ROUNDS):
+        if not any(is_readable(item.fileno()) for item in server.sockets):
+            break
+        await asyncio.sleep(0)
+    for _ in range(CONNECTION_START_CYCLES):
+        await asyncio.sleep(0)
+
+
 def _has_body(headers: Headers) -> bool:
     return any(
         name == b"transfer-encoding" or (name == b"content-length" and value != b"0")
--- a/wasabimux/platform/standins/runner.py
+++ b/wasabimux/platform/standins/runner.py
@@ -19,6 +19,9 @@
 from wasabimux.platform import headers as header_names
 from wasabimux.ports import Headers
 
+#: Time in s between the comments of a stalled stream.
+COMMENT_INTERVAL_S = 0.25
+
 #: Tokens in one event of a stream, and time between events in s.
 TOKENS_PER_EVENT = 10
 EVENT_INTERVAL_S = 0.01
@@ -53,6 +56,8 @@
             after the headers; None for complete responses.
         delay_s: Delay before each response, in s.
         refuse_reservations: True to refuse slot reservations.
+        stall_after_events: Number of events after which responses send only comments;
+            None for complete responses.
         fail_kv_cache_copies: True to stop a stream for migration without copying its
             KV cache.
     """
@@ -61,6 +66,7 @@
     status: int = 200
     wrong_request_id: bool = False
     cut_after_events: int | None = None
+    stall_after_events: int | None = None
     delay_s: float = 0.0
     refuse_reservations: bool = False
     fail_kv_cache_copies: bool = False
@@ -254,7 +260,13 @@
         self, record: RunRecord, last_event_id: int
     ) -> AsyncGenerator[bytes, None]:
         cut_after_events = self.faults.cut_after_events
+        stall_after_events = self.faults.stall_after_events
         for number in range(last_event_id + 1, self.events + 1):
+            while stall_after_events is not None and (
+                number - last_event_id > stall_after_events
+            ):
+                yield b": still here\n\n"
+                await asyncio.sleep(COMMENT_INTERVAL_S)
             is_cut = (
                 cut_after_events is not None
                 and number - last_event_id > cut_after_events
--- a/wasabimux/relay/_events.py
+++ b/wasabimux/relay/_events.py
@@ -4,8 +4,14 @@
 
 from typing import NamedTuple
 
+from wasabimux.ports import UpstreamLost
+
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+COMMENT_START = b":"
+
+#: Most bytes of one event.
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 class ServerSentEvent(NamedTuple):
@@ -19,6 +25,12 @@
     id: int | None
     data: bytes
 
+    @property
+    def is_empty(self) -> bool:
+        """True if the event has no field, only comments, which are no progress."""
+        lines = self.data.split(b"\n")
+        return all(not line or line.startswith(COMMENT_START) for line in lines)
+
 
 class SseSplitter:
     """Splits bytes into events; buffers an event until it is complete."""
@@ -32,8 +44,14 @@
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> list[ServerSentEvent]:
-        """Adds received bytes and returns the events that they complete."""
+        """Adds received bytes and returns the events that they complete.
+
+        Raises:
+            UpstreamLost: An event has more than MAX_EVENT_BYTES.
+        """
         *complete, self._buffer = (self._buffer + data).split(EVENT_END)
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise UpstreamLost("an event of the stream is too large", sent=True)
         return [
             ServerSentEvent(_event_id(event), event + EVENT_END) for event in complete
         ]
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -51,6 +51,7 @@
         slot: Slot that the stream runs in.
         pending: Events that were received and not yet passed on.
         splitter: Splits the body into events.
+        waited_s: Time in s waited for the engine since its last event with a field.
         ended: True once the engine has ended the stream without an error.
     """
 
@@ -59,6 +60,7 @@
     slot: DecodeSlot
     pending: list[ServerSentEvent] = field(default_factory=list)
     splitter: SseSplitter = field(default_factory=SseSplitter)
+    waited_s: float = 0.0
     ended: bool = False
 
 
@@ -340,20 +342,29 @@
         return stream
 
     async def _await_unless_stalled(
-        self, request: RelayRequest, step: Coroutine[Any, Any, StepResult]
+        self,
+        request: RelayRequest,
+        step: Coroutine[Any, Any, StepResult],
+        waited_s: float = 0.0,
     ) -> StepResult:
         """Awaits a step of a stream, with a timeout if the stream can be resumed.
 
         There is no timeout where the stream may not be resumed at another engine or
         where the retry budget is used up.
 
+        Args:
+            request: Request of the stream.
+            step: The step.
+            waited_s: Time in s waited since the last progress of the stream.
+
         Raises:
-            UpstreamLost: The engine sent no data for STALL_TIMEOUT_S.
+            UpstreamLost: The stream made no progress for STALL_TIMEOUT_S.
         """
         task = asyncio.ensure_future(step)
         try:
             can_resume = request.route.resumable and request.has_attempts_left()
-            await asyncio.wait({task}, timeout=STALL_TIMEOUT_S if can_resume else None)
+            timeout_s = max(0.0, STALL_TIMEOUT_S - waited_s) if can_resume else None
+            await asyncio.wait({task}, timeout=timeout_s)
             if not task.done() and self._charge_retry(request):
                 request.retry_charged = True
                 raise UpstreamLost("stream stalled: no data from the engine", sent=True)
@@ -429,7 +440,13 @@
             stream.pending = []
             if stream.ended:
                 return
-            await self._await_unless_stalled(request, self._read_events(stream))
+            started_s = loop_time()
+            reading = self._read_events(stream)
+            await self._await_unless_stalled(request, reading, stream.waited_s)
+            if all(event.is_empty for event in stream.pending):
+                stream.waited_s += loop_time() - started_s
+            else:
+                stream.waited_s = 0.0
 
     def _on_complete(
         self, request: RelayRequest, stream: _EngineStream, progress: _Progress
