Share a cold upstream's rate among any number of relays

Load: an upstream that has just started takes a few requests a second, and many relays may send to it. Cause: each relay sent at least one request a second to a cold upstream, 68 relays up to 68, where the platform bears 12.8; and a request was refused when a cold upstream at its limit was drawn although others had room. A stream's turn was checked only after its prompt was read, so prompts were read in vain. Change: each relay's part is an interval with a random start; placing leaves out cold upstreams whose turn has not come; a decode slot is taken with the turn, before the prompt is read.

--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -233,12 +233,6 @@
                 "the engine no longer accepts requests",
                 RETRY_AFTER_S,
             )
-        if not self._selector.try_acquire_send(engine, request.service, loop_time()):
-            raise request.refusal_error(
-                ErrorCode.OVERLOADED,
-                "the engine is cold and at its request limit",
-                RETRY_AFTER_S,
-            )
         request.tried_upstreams.append(engine.id)
         slot.request_sent = True
         stream = await self._start_stream(request, slot, kv_source, after)
--- a/wasabimux/relay/moves.py
+++ b/wasabimux/relay/moves.py
@@ -153,6 +153,7 @@
             for item in self._selector.engines(
                 service.name, Phase.DECODE, now, [engine.id]
             )
+            if self._selector.may_send(item, service)
         }
         move = next_migration(
             [
@@ -167,6 +168,7 @@
         )
         if move is not None:
             candidate = self._candidates[move.number]
+            self._selector.on_send(destinations[move.destination], service)
             slot = self._slot_scheduler.acquire_for_migration(
                 candidate.slot, destinations[move.destination]
             )
--- a/wasabimux/relay/placing.py
+++ b/wasabimux/relay/placing.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 
+from wasabimux._clock import loop_time
 from wasabimux.decisions.decode_queue import EngineCapacity
 from wasabimux.decisions.memory_forecast import sum_forecasts
 from wasabimux.decisions.upstream_choice import CallCandidate, choose_upstream
@@ -91,10 +92,13 @@
         return healthy or candidates
 
     def choose_plain(
-        self, service: str, now: float, avoid: list[UpstreamId]
+        self, service: ServiceProfile, now: float, avoid: list[UpstreamId]
     ) -> Upstream | None:
         """Chooses the upstream for a call to a non-generation HTTP service."""
-        upstreams = {item.id: item for item in self.usable(service, now, avoid)}
+        found = self.usable(
+            service.name, now, avoid, lambda item: self.may_send(item, service)
+        )
+        upstreams = {item.id: item for item in found}
         if not upstreams:
             return None
         candidates = [
@@ -181,14 +185,28 @@
     def _peer_usage(self) -> Usage:
         return self.mesh.others if self.mesh else NO_USAGE
 
-    def try_acquire_send(
-        self, upstream: Upstream, service: ServiceProfile, now: float
-    ) -> bool:
-        """Counts a send to an upstream.
+    def may_send(self, upstream: Upstream, service: ServiceProfile) -> bool:
+        """Returns whether the rate limit of a cold upstream allows a request now.
 
-        Returns:
-            False if this relay's part of a cold upstream's rate limit is used up.
+        Each relay has an equal part of the rate. A part below one request a second is
+        used at intervals, which start at a random time at each relay.
         """
+        now = loop_time()
+        if service.cold_per_s <= 0 or now >= upstream.cold_until_s:
+            return True
+        if upstream.next_cold_send_s is None:
+            first_s = self._rng.uniform(0.0, self._cold_interval_s(service))
+            upstream.next_cold_send_s = now + first_s
+        return now >= upstream.next_cold_send_s
+
+    def on_send(self, upstream: Upstream, service: ServiceProfile) -> None:
+        """Counts a request to an upstream, or a slot reserved for one."""
+        now = loop_time()
+        if service.cold_per_s > 0 and now < upstream.cold_until_s:
+            planned_s = max(now, upstream.next_cold_send_s or now)
+            upstream.next_cold_send_s = planned_s + self._cold_interval_s(service)
+
+    def _cold_interval_s(self, service: ServiceProfile) -> float:
+        """Returns the time in s between this relay's requests to a cold upstream."""
         relay_count = self.mesh.relay_counts().known if self.mesh else 1
-        per_s = COLD_RATE_FRACTION * service.cold_per_s / relay_count
-        return service.cold_per_s <= 0 or upstream.try_acquire_send(per_s, now)
+        return relay_count / (COLD_RATE_FRACTION * service.cold_per_s)
--- a/wasabimux/relay/plain.py
+++ b/wasabimux/relay/plain.py
@@ -192,16 +192,15 @@
     def _choose_upstream(self, request: RelayRequest) -> Upstream:
         now = loop_time()
         upstream = self._selector.choose_plain(
-            request.service.name, now, request.tried_upstreams
+            request.service, now, request.tried_upstreams
         )
-        if upstream is None or not self._selector.try_acquire_send(
-            upstream, request.service, now
-        ):
+        if upstream is None:
             raise request.refusal_error(
                 ErrorCode.NO_UPSTREAM,
                 "no upstream can take the request now",
                 RETRY_AFTER_S,
             )
+        self._selector.on_send(upstream, request.service)
         return upstream
 
     async def _send(
--- a/wasabimux/relay/prefill.py
+++ b/wasabimux/relay/prefill.py
@@ -74,7 +74,8 @@
         for engine in sorted(engines, key=lambda item: queued_by_id[item.id]):
             if queued_by_id[engine.id] > MAX_QUEUED_TOKENS:
                 break
-            if self._selector.try_acquire_send(engine, service, now):
+            if self._selector.may_send(engine, service):
+                self._selector.on_send(engine, service)
                 return engine
         return None
 
--- a/wasabimux/relay/slots.py
+++ b/wasabimux/relay/slots.py
@@ -278,6 +278,7 @@
             if engine is None:
                 continue
             expected = self._expected_stream(item.request)
+            self._selector.on_send(engine, item.request.service)
             engine.running += 1
             engine.streams.add(expected)
             task = asyncio.ensure_future(self._reserve(item, engine, expected))
@@ -296,7 +297,7 @@
             for engine in self._selector.engines(
                 service.name, Phase.DECODE, now, item.avoid
             )
-            if engine.full_until_s <= now
+            if engine.full_until_s <= now and self._selector.may_send(engine, service)
         }
         capacities = [
             self._selector.engine_capacity(engine, service)
--- a/wasabimux/relay/upstreams.py
+++ b/wasabimux/relay/upstreams.py
@@ -76,6 +76,8 @@
         streams: Streams of this relay that occupy a decode slot.
         misdirected: True once the upstream responded that a request was misdirected.
         cold_until_s: Time until which the upstream is cold.
+        next_cold_send_s: Time of the next send allowed while it is cold, None before
+            the first one was planned.
         full_until_s: Time until which this relay requests no slot, after a refusal.
         phase_change_until_s: Time until which this relay's phase change of the engine
             may take.
@@ -89,9 +91,9 @@
         self.streams: set[RunningStream] = set()
         self.misdirected = False
         self.cold_until_s = now + record.cold_s
+        self.next_cold_send_s: float | None = None
         self.full_until_s = 0.0
         self.phase_change_until_s = 0.0
-        self._recent_sends: deque[float] = deque()
         self._idle: deque[tuple[float, ClientConnection]] = deque()
         self._host, self._port = parse_address(record.address)
 
@@ -115,6 +117,7 @@
         """Replaces the upstream's entry by a newer one."""
         if record.cold_s > 0 and record.cold_s != self.record.cold_s:
             self.cold_until_s = now + record.cold_s
+            self.next_cold_send_s = None
         if record.phase is not self.record.phase:
             self.phase_change_until_s = 0.0
         if record.address != self.record.address:
@@ -135,21 +138,6 @@
             # It rejected a request despite a reservation, as during a phase change.
             self.health.back_off(now)
 
-    def try_acquire_send(self, per_s: float, now: float) -> bool:
-        """Counts a send; returns False if the rate limit of a cold upstream forbids it.
-
-        Args:
-            per_s: Rate limit of this relay while the upstream is cold, in requests
-                per s.
-            now: Current time in s.
-        """
-        while self._recent_sends and self._recent_sends[0] <= now - 1.0:
-            self._recent_sends.popleft()
-        if now < self.cold_until_s and len(self._recent_sends) + 1 > max(1.0, per_s):
-            return False
-        self._recent_sends.append(now)
-        return True
-
     async def send(
         self,
         method: str,
