Refuse lengths that a model cannot give, and say when a limit cut an answer

Cause: max_tokens beyond the limit was answered 200 with fewer tokens and finish_reason stop; 0 meant the default although the message asks for a positive integer. Now both are refused with 400 before anything runs.

--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -6,6 +6,7 @@
 import json
 from collections.abc import AsyncGenerator
 
+import pytest
 import pytest_asyncio
 from testtools.assertions import assert_that
 from testtools.matchers import (
@@ -70,6 +71,27 @@
     assert_that(message, ContainsDict({"content": Equals("w0 w1 w2 ")}))
 
 
+@pytest.mark.parametrize("max_tokens", [0, -1, 10**12])
+async def test_a_length_that_the_model_cannot_give_is_refused(
+    client: HttpClient, max_tokens: int
+) -> None:
+    """Regression: a length beyond the limit was answered 200 with fewer tokens."""
+    body = completion_body(max_tokens=max_tokens)
+    response = await send(
+        client, "POST", "/v1/completions", authorization("rope-yard"), body
+    )
+    assert_that(response.status, Equals(400))
+    assert_that(response.json["error"], ContainsDict({"ran": Equals("no")}))
+
+
+async def test_an_answer_cut_at_its_limit_says_so(client: HttpClient) -> None:
+    body = completion_body(max_tokens=3)
+    response = await send(
+        client, "POST", "/v1/completions", authorization("rope-yard"), body
+    )
+    assert_that(response.json["choices"][0]["finish_reason"], Equals("length"))
+
+
 async def test_refusals_say_that_nothing_ran(client: HttpClient) -> None:
     cases = [
         (401, "POST", "/v1/completions", [], completion_body()),
--- a/wasabimux/entry/completions.py
+++ b/wasabimux/entry/completions.py
@@ -56,10 +56,18 @@
         return int(self.fields["max_tokens"])
 
     def with_output_limit(self, max_output_tokens: int) -> CompletionRequest:
-        """Returns the request with `max_tokens` set to at most `max_output_tokens`."""
-        requested = self.fields.get("max_tokens") or max_output_tokens
-        limit = min(requested, max_output_tokens)
-        return self._replace(fields=self.fields | {"max_tokens": limit})
+        """Returns the request with `max_tokens` set, by default to the maximum.
+
+        Raises:
+            RefusedError: The client asks for more than `max_output_tokens`.
+        """
+        requested = self.fields.get("max_tokens", max_output_tokens)
+        if requested > max_output_tokens:
+            raise refused(
+                ErrorCode.BAD_REQUEST,
+                f"$.max_tokens: expected at most {max_output_tokens}",
+            )
+        return self._replace(fields=self.fields | {"max_tokens": requested})
 
     def max_total_tokens(self, bytes_per_token: float) -> int:
         """Returns an upper bound of the prompt and output tokens of the request."""
@@ -93,8 +101,8 @@
         raise refused(ErrorCode.BAD_REQUEST, "the request body is not a JSON object")
     model = _get_field(fields, "model", str, None)
     stream = _get_field(fields, "stream", bool, False)
-    max_tokens = _get_field(fields, "max_tokens", int, 0)
-    if max_tokens < 0 or isinstance(fields.get("max_tokens"), bool):
+    max_tokens = _get_field(fields, "max_tokens", int, 1)
+    if max_tokens < 1 or isinstance(fields.get("max_tokens"), bool):
         raise refused(
             ErrorCode.BAD_REQUEST, "$.max_tokens: expected a positive integer"
         )
--- a/wasabimux/standins/engine.py
+++ b/wasabimux/standins/engine.py
@@ -379,7 +379,7 @@
 
     def full_response(self, output_tokens: int) -> bytes:
         text = "".join(_token_text(index) for index in range(output_tokens))
-        choice: dict[str, object] = {"index": 0, "finish_reason": "stop"}
+        choice: dict[str, object] = {"index": 0, "finish_reason": "length"}
         if self.chat:
             choice["message"] = {"role": "assistant", "content": text}
         else:
