Draw two prefill engines instead of taking the shortest known queue

Load: 68 relays send prompts and learn of one another's 0.3 to 0.6 s late. Change: power of two choices, in decisions/prefill_choice.py.

--- a/tests/test_aggregation.py
+++ b/tests/test_aggregation.py
@@ -5,13 +5,12 @@
 import pytest
 
 from wasabimux.decisions.aggregation import (
-    AGGREGATORS_PER_DOMAIN,
     SILENT_AFTER_S,
     USAGE_KEPT_S,
     FleetUsage,
     Scope,
     UsageReport,
-    choose_aggregators,
+    rank_aggregators,
 )
 from wasabimux.decisions.shared_bucket import BucketUsage
 from wasabimux.decisions.usage_sums import (
@@ -72,13 +71,13 @@
     assert rest.load_by_upstream["engine"] == UpstreamLoad(1, (9.0,) * 7, 0, 1, 9.0)
 
 
-def test_relays_that_know_the_same_addresses_choose_the_same_aggregators() -> None:
+def test_relays_that_know_the_same_addresses_agree_on_the_aggregators() -> None:
     addresses = [f"10.0.0.{number}:7500" for number in range(14)]
-    chosen = choose_aggregators("zone-a", addresses, lambda address: True)
-    assert len(chosen) == AGGREGATORS_PER_DOMAIN
-    assert chosen == choose_aggregators("zone-a", addresses[::-1], lambda a: True)
-    replaced = choose_aggregators("zone-a", addresses, lambda a: a != chosen[0])
-    assert replaced[0] == chosen[1]
+    ranked = rank_aggregators("zone-a", addresses)
+    assert sorted(ranked) == sorted(addresses)
+    assert ranked == rank_aggregators("zone-a", addresses[::-1])
+    assert ranked[1:] == rank_aggregators("zone-a", ranked[1:])
+    assert ranked != rank_aggregators("zone-b", addresses)
 
 
 def test_a_member_takes_its_own_part_off_the_sum(
--- a/wasabimux/decisions/aggregation.py
+++ b/wasabimux/decisions/aggregation.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 from enum import Enum
 from typing import NamedTuple
@@ -75,20 +75,17 @@
     leads: bool = False
 
 
-def choose_aggregators(
-    domain: str, addresses: Iterable[str], is_usable: Callable[[str], bool]
-) -> list[str]:
-    """Returns the aggregators of a failure domain, the leading one first.
+def rank_aggregators(domain: str, addresses: Collection[str]) -> list[str]:
+    """Returns the relays of a failure domain in the order in which they aggregate it.
 
-    Relays that know the same addresses choose the same ones.
+    The first AGGREGATORS_PER_DOMAIN usable ones are its aggregators. Relays that know
+    the same addresses agree on the order.
 
     Args:
         domain: The failure domain.
         addresses: Addresses of its relays.
-        is_usable: Tells whether a relay may be chosen.
     """
-    usable = filter(is_usable, addresses)
-    return rendezvous_top(domain.encode(), usable, AGGREGATORS_PER_DOMAIN)
+    return rendezvous_top(domain.encode(), addresses, len(addresses))
 
 
 @dataclass(slots=True)
--- a/wasabimux/relay/mesh.py
+++ b/wasabimux/relay/mesh.py
@@ -13,13 +13,14 @@
 
 from wasabimux._clock import loop_time
 from wasabimux.decisions.aggregation import (
+    AGGREGATORS_PER_DOMAIN,
     GONE_AFTER_S,
     SILENT_AFTER_S,
     FleetUsage,
     RelayCounts,
     Scope,
     UsageReport,
-    choose_aggregators,
+    rank_aggregators,
 )
 from wasabimux.decisions.usage_sums import NO_USAGE, Usage
 from wasabimux.entry.peers import PeerLinks
@@ -217,17 +218,9 @@
             now: Current time in s.
             failure_domain: The failure domain, by default that of this relay.
         """
-        domain = failure_domain or self._identity.failure_domain
-        candidates = [
-            peer.address
-            for peer in self.peer_by_address.values()
-            if peer.failure_domain == domain
-        ]
-        if domain == self._identity.failure_domain and not self._shutting_down:
-            candidates.append(self.address)
-        return choose_aggregators(
-            domain, candidates, lambda address: self._is_usable(address, now)
-        )
+        ranked = self._ranked(failure_domain or self._identity.failure_domain)
+        usable = [address for address in ranked if self._is_usable(address, now)]
+        return usable[:AGGREGATORS_PER_DOMAIN]
 
     def is_aggregator(self, now: float) -> bool:
         """Returns whether this relay is an aggregator of its failure domain."""
@@ -441,7 +434,11 @@
         self._on_others_changed()
 
     def _connect_missing(self, now: float) -> None:
-        for address in self._wanted(now):
+        wanted = self._wanted(now)
+        for peer in self.peer_by_address.values():
+            if peer.address not in wanted:
+                peer.wanted_since_s = None
+        for address in wanted:
             peer = self.peer_by_address[address]
             if peer.wanted_since_s is None:
                 peer.wanted_since_s = now
@@ -453,26 +450,36 @@
     def _wanted(self, now: float) -> list[str]:
         """Returns the peers that this relay exchanges reports with as a sender.
 
-        Aggregators that are silent but would lead if they were heard are included.
+        Relays that are silent but would be aggregators if they were heard are included.
         """
         domains = {self._identity.failure_domain}
         if self.is_aggregator(now):
             peers = self.peer_by_address.values()
             domains |= {peer.failure_domain for peer in peers}
         wanted = []
-        for domain in domains:
-            chosen = set(self.aggregators(now, domain)) - {self.address}
-            silent = {
-                peer.address
-                for peer in self.peer_by_address.values()
-                if peer.failure_domain == domain
-                and peer.wanted_since_s is not None
-                and not peer.shutting_down
-                and peer.forgotten_s is None
-            }
-            wanted += sorted(chosen | silent)
+        for domain in sorted(domains):
+            usable_count = 0
+            for address in self._ranked(domain):
+                if usable_count == AGGREGATORS_PER_DOMAIN:
+                    break
+                usable_count += self._is_usable(address, now)
+                if address != self.address:
+                    wanted.append(address)
         return wanted
 
+    def _ranked(self, failure_domain: str) -> list[str]:
+        """Returns the relays that may aggregate a failure domain, in their order."""
+        addresses = [
+            peer.address
+            for peer in self.peer_by_address.values()
+            if peer.failure_domain == failure_domain
+            and not peer.shutting_down
+            and peer.forgotten_s is None
+        ]
+        if failure_domain == self._identity.failure_domain and not self._shutting_down:
+            addresses.append(self.address)
+        return rank_aggregators(failure_domain, addresses)
+
     async def _connect(self, address: str) -> None:
         """Links to a peer and tells it who this relay is."""
         try:
--- a/wasabimux/relay/prefill.py
+++ b/wasabimux/relay/prefill.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 from wasabimux._clock import loop_time
 from wasabimux.adapters.relay_metrics import RelayMetrics
+from wasabimux.decisions.prefill_choice import choose_prefill_engine
 from wasabimux.decisions.retry_window import ServiceRetryBudgets
 from wasabimux.decisions.stream_estimates import StreamEstimates
 from wasabimux.ports import UpstreamLost
@@ -40,6 +42,7 @@
         estimates: Expected durations of prefills.
         recorder: Records the results of prefills.
         metrics: Measures the durations of prefills.
+        rng: Source of randomness.
     """
 
     def __init__(
@@ -51,7 +54,9 @@
         estimates: StreamEstimates,
         recorder: RequestEventRecorder,
         metrics: RelayMetrics,
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self._selector = selector
         self._header_codec = header_codec
         self._engine_codec = engine_codec
@@ -61,23 +66,28 @@
         self._metrics = metrics
 
     def choose(self, request: RelayRequest) -> Upstream | None:
-        """Returns the prefill engine with the fewest queued tokens.
+        """Returns an engine for the prefill of a prompt.
 
         Returns:
             The engine, or None if each one is over its queue limit or is cold and
             may not get another request now.
         """
-        now = loop_time()
         service = request.service
-        engines = self._selector.engines(service.name, Phase.PREFILL, now, [])
-        queued_by_id = {engine.id: self._queued_tokens(engine) for engine in engines}
-        for engine in sorted(engines, key=lambda item: queued_by_id[item.id]):
-            if queued_by_id[engine.id] > MAX_QUEUED_TOKENS:
-                break
-            if self._selector.may_send(engine, service):
-                self._selector.on_send(engine, service)
-                return engine
-        return None
+        engine_by_id = {
+            engine.id: engine
+            for engine in self._selector.engines(
+                service.name, Phase.PREFILL, loop_time(), []
+            )
+            if self._selector.may_send(engine, service)
+        }
+        queued_by_engine = {
+            engine.id: self._queued_tokens(engine) for engine in engine_by_id.values()
+        }
+        chosen = choose_prefill_engine(queued_by_engine, MAX_QUEUED_TOKENS, self._rng)
+        if chosen is None:
+            return None
+        self._selector.on_send(engine_by_id[chosen], service)
+        return engine_by_id[chosen]
 
     async def run(self, request: RelayRequest, engine: Upstream) -> str | None:
         """Prefills the prompt of a request at an engine.
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -198,6 +198,7 @@
                 estimates,
                 records,
                 metrics,
+                rng,
             ),
             platform.header_codec,
             self.retries,
