--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -123,7 +123,7 @@
     def lead_of(self, domain: str) -> MeshNode:
         """Returns the relay that leads a failure domain."""
         now = loop_time()
-        leads = [item for item in self.nodes if item.mesh.leads(now)]
+        leads = [item for item in self.nodes if item.mesh.membership.leads(now)]
         (lead,) = [item for item in leads if item.domain == domain]
         return lead
 
@@ -228,7 +228,9 @@
     async def scenario(fleet: MeshFleet) -> None:
         for node in fleet.nodes:
             node.set_running(1)
-        away = next(node for node in fleet.nodes if not node.mesh.is_aggregator(0.0))
+        away = next(
+            node for node in fleet.nodes if not node.mesh.membership.is_aggregator(0.0)
+        )
         for node in fleet.nodes:
             if node is not away:
                 fleet.network.cut(away.name, node.name)
@@ -310,7 +312,9 @@
             node.view.apply_listing("servers", [], StoreRevision(1, 5), now)
         await asyncio.sleep(1.0)
         informed = [
-            node for node in fleet.nodes if node.mesh.is_informed_by_peer(loop_time())
+            node
+            for node in fleet.nodes
+            if node.mesh.membership.is_informed_by_peer(loop_time())
         ]
         assert len(informed) == 40 - DOMAINS * AGGREGATORS_PER_DOMAIN
         entry = {"service": "desk", "address": "10.9.0.1:80", "zone": "zone-0"}
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -469,7 +469,7 @@
     """Guards against relays that read the store before the others have registered."""
     meshes = [running.relay.mesh for running in three_relays.relays]
     await three_relays.wait_until(
-        lambda: all(len(m.peer_by_address) == 2 for m in meshes)
+        lambda: all(len(m.membership.peer_by_address) == 2 for m in meshes)
     )
     await three_relays.wait_until(
         lambda: all(m.relay_counts() == RelayCounts(3, 0) for m in meshes)
--- a/wasabimux/relay/mesh.py
+++ b/wasabimux/relay/mesh.py
@@ -9,18 +9,13 @@
 import asyncio
 import json
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from wasabimux._clock import loop_time
 from wasabimux.decisions.aggregation import (
-    AGGREGATORS_PER_DOMAIN,
-    GONE_AFTER_S,
-    SILENT_AFTER_S,
     FleetUsage,
     RelayCounts,
     Scope,
     UsageReport,
-    rank_aggregators,
 )
 from wasabimux.decisions.usage_sums import NO_USAGE, Usage
 from wasabimux.entry.peers import PeerLinks
@@ -36,6 +31,7 @@
     RelayReport,
 )
 from wasabimux.relay.forwarding import ObjectForwarder
+from wasabimux.relay.membership import Membership, Peer
 from wasabimux.relay.view import FleetView
 from wasabimux.timeline import Timeline
 
@@ -56,16 +52,6 @@
 #: reports to a silent aggregator.
 STANDBY_REPORT_INTERVAL_S = 1.0
 
-#: Time in s without a message of the leading aggregator after which the next one leads.
-LEAD_SILENT_AFTER_S = 0.7
-
-#: Time in s for which an aggregator must have reported for its relays to rely on it.
-RELIED_REPORT_AGE_S = 0.9
-
-#: Time in s for which a relay must have been taken for gone before others may delete
-#: its entry in the platform's store.
-DELETE_AFTER_S = 40.0
-
 #: Longest wait in s for the shutdown notice to be sent to all peers.
 SHUTDOWN_NOTICE_TIMEOUT_S = 0.3
 
@@ -73,56 +59,6 @@
 CONNECT_INTERVAL_S = 0.5
 
 
-@dataclass(slots=True)
-class Peer:
-    """State of another relay.
-
-    Attributes:
-        address: Address on which the peer accepts links.
-        failure_domain: Failure domain of the peer, empty if unknown.
-        added_s: Loop time in s at which the address became known.
-        wanted_since_s: Loop time in s since which this relay wants reports of the peer,
-            None if it does not.
-        heard_s: Loop time in s of the last message, None before the first.
-        aggregated_s: Loop time in s of the last sum that the peer sent as an
-            aggregator, None before the first.
-        sent_s_by_scope: Loop time in s of the last report sent to the peer.
-        incarnation: Incarnation of the peer's process, 0 if unknown.
-        shutting_down: True if the peer has announced its shutdown.
-        store_reachable: True if the platform's store answers the peer.
-        forgotten_s: Loop time in s at which the peer was taken for gone, None if not.
-    """
-
-    address: str
-    failure_domain: str
-    added_s: float
-    wanted_since_s: float | None = None
-    heard_s: float | None = None
-    aggregated_s: float | None = None
-    sent_s_by_scope: dict[Scope, float] = field(default_factory=dict)
-    incarnation: int = 0
-    shutting_down: bool = False
-    store_reachable: bool = True
-    forgotten_s: float | None = None
-
-    def is_usable(self, now: float) -> bool:
-        """Returns whether the peer may be an aggregator: it reports, or may soon."""
-        if self.shutting_down or self.forgotten_s is not None:
-            return False
-        if self.wanted_since_s is None:
-            return True
-        last_s = max(self.wanted_since_s, self.aggregated_s or self.wanted_since_s)
-        return now - last_s <= SILENT_AFTER_S
-
-    def aggregates(self, now: float, within_s: float = SILENT_AFTER_S) -> bool:
-        """Returns whether the peer has reported as an aggregator a short time ago."""
-        return (
-            self.aggregated_s is not None
-            and now - self.aggregated_s <= within_s
-            and not self.shutting_down
-        )
-
-
 class Mesh:
     """Exchanges usage and platform objects with other relays.
 
@@ -140,7 +76,7 @@
         timeline: Records peers found and lost.
 
     Attributes:
-        peer_by_address: Known peers, those that are not linked included.
+        membership: The relays found, and their part in aggregation.
         others: Usage of the other relays.
     """
 
@@ -157,9 +93,9 @@
         on_link_lost: Callable[[str], None],
         timeline: Timeline,
     ) -> None:
-        self.peer_by_address: dict[str, Peer] = {}
         self.others: Usage = NO_USAGE
         self._identity = RelayIdentity(address, failure_domain)
+        self.membership = Membership(self._identity)
         self._links = links
         self._view = view
         self._forwarder = ObjectForwarder(view)
@@ -170,12 +106,10 @@
         self._on_link_lost = on_link_lost
         self._timeline = timeline
         self._sequence = 0
-        self._shutting_down = False
         self._address_by_link: dict[Link, str] = {}
         self._usage_changed = asyncio.Event()
         self._changed_scopes: set[Scope] = set()
         self._counts = RelayCounts(1, 0)
-        self._aggregator_since_s: float | None = None
         self._others_updated_s = 0.0
         self._next_connect_s = 0.0
         self._connecting: set[asyncio.Task[None]] = set()
@@ -186,45 +120,10 @@
         return self._identity.address
 
     def add_peer(self, address: str, failure_domain: str = "") -> None:
-        """Adds a relay that was found; one that is taken for gone stays so."""
-        if address == self.address:
-            return
-        peer = self.peer_by_address.get(address)
-        if peer is None:
-            peer = Peer(address, failure_domain, loop_time())
-            self.peer_by_address[address] = peer
+        """Adds a relay that was found, and connects to it if it aggregates usage."""
+        if self.membership.add(address, failure_domain, loop_time()):
             self._next_connect_s = 0.0
             self._usage_changed.set()
-        peer.failure_domain = failure_domain or peer.failure_domain
-
-    def is_gone(self, address: str, now: float) -> bool:
-        """Returns whether a relay of this failure domain is gone for good.
-
-        Only an aggregator can tell, as all relays of its domain report to it.
-        """
-        peer = self.peer_by_address.get(address)
-        return (
-            peer is not None
-            and peer.failure_domain == self._identity.failure_domain
-            and peer.forgotten_s is not None
-            and now - peer.forgotten_s > DELETE_AFTER_S
-            and self.is_aggregator(now)
-        )
-
-    def aggregators(self, now: float, failure_domain: str | None = None) -> list[str]:
-        """Returns the aggregators of a failure domain, the leading one first.
-
-        Args:
-            now: Current time in s.
-            failure_domain: The failure domain, by default that of this relay.
-        """
-        ranked = self._ranked(failure_domain or self._identity.failure_domain)
-        usable = [address for address in ranked if self._is_usable(address, now)]
-        return usable[:AGGREGATORS_PER_DOMAIN]
-
-    def is_aggregator(self, now: float) -> bool:
-        """Returns whether this relay is an aggregator of its failure domain."""
-        return self.address in self.aggregators(now)
 
     def live_aggregators(self, now: float, store_reachable: bool = False) -> list[str]:
         """Returns the aggregators of all failure domains that this relay hears.
@@ -235,33 +134,12 @@
             now: Current time in s.
             store_reachable: True for only those that reach the platform's store.
         """
-        live = [
-            peer.address
-            for peer in self.peer_by_address.values()
-            if peer.aggregates(now) and (peer.store_reachable or not store_reachable)
-        ]
-        if self.is_aggregator(now) and (self._store_reachable() or not store_reachable):
-            live.append(self.address)
+        live = self.membership.heard_aggregators(now, store_reachable)
+        if self.membership.is_aggregator(now):
+            if self._store_reachable() or not store_reachable:
+                live.append(self.address)
         return live
 
-    def is_informed_by_peer(self, now: float) -> bool:
-        """Returns whether an aggregator tells this relay of changes in the store."""
-        if self.is_aggregator(now):
-            return False
-        return any(
-            peer.aggregates(now, RELIED_REPORT_AGE_S) and peer.store_reachable
-            for peer in map(self.peer_by_address.get, self.aggregators(now))
-            if peer is not None
-        )
-
-    def hears_aggregator(self, now: float) -> bool:
-        """Returns whether an aggregator of the own failure domain reports."""
-        return any(
-            peer.aggregates(now)
-            for peer in self.peer_by_address.values()
-            if peer.failure_domain == self._identity.failure_domain
-        )
-
     def relay_counts(self) -> RelayCounts:
         """Returns the numbers of known and of silent relays of the whole fleet."""
         return self._counts
@@ -295,7 +173,7 @@
 
     async def announce_shutdown(self) -> None:
         """Tells peers that this relay shuts down; the wait for them is bounded."""
-        self._shutting_down = True
+        self.membership.shutting_down = True
         links = list(self._address_by_link)  # peers may change during the wait
         for link in links:
             link.send(0, RelayLeaving())
@@ -310,7 +188,7 @@
         if isinstance(message, RelayIdentity):
             self._on_identity(link, message)
             return
-        peer = self.peer_by_address.get(self._address_by_link.get(link, ""))
+        peer = self.membership.peer_by_address.get(self._address_by_link.get(link, ""))
         if peer is None:
             return
         now = loop_time()
@@ -329,17 +207,13 @@
     def on_view_changed(self) -> None:
         """Passes changes of the view on to the relays that rely on this one."""
         now = loop_time()
-        if not self.is_aggregator(now):
+        if not self.membership.is_aggregator(now):
             return
         for address in self._fleet_usage.heard_members(now):
             link = self._link_to(address)
             if link is not None:
                 self._forwarder.push(address, link, now)
 
-    def _is_usable(self, address: str, now: float) -> bool:
-        peer = self.peer_by_address.get(address)
-        return peer is None or peer.is_usable(now)
-
     @property
     def report_delay_s(self) -> float:
         """Longest time in s until this relay knows what others use, over three hops."""
@@ -347,7 +221,7 @@
 
     def _report_interval_s(self) -> float:
         """Returns the shortest time in s between reports."""
-        interval_s = REPORT_INTERVAL_S_PER_RELAY * len(self.peer_by_address)
+        interval_s = REPORT_INTERVAL_S_PER_RELAY * len(self.membership.peer_by_address)
         return min(MAX_REPORT_INTERVAL_S, MIN_REPORT_INTERVAL_S + interval_s)
 
     async def _wait_for_change(self) -> None:
@@ -366,7 +240,7 @@
             return
         is_answer = link in self._address_by_link
         self.add_peer(identity.address, identity.failure_domain)
-        peer = self.peer_by_address[identity.address]
+        peer = self.membership.peer_by_address[identity.address]
         if peer.incarnation != link.peer.incarnation:
             self._fleet_usage.forget(peer.address)
             self._forwarder.forget(peer.address)
@@ -391,7 +265,7 @@
         if report.scope is not Scope.RELAY:
             peer.aggregated_s = now
         for address in message.aggregators:
-            self._on_aggregator_named(address, peer.failure_domain)
+            self.membership.add_aggregator(address, peer.failure_domain, now)
         has_changed = self._fleet_usage.on_report(
             peer.address, peer.incarnation, peer.failure_domain, report, now
         )
@@ -399,7 +273,7 @@
         self._forwarder.on_peer_desired_version(
             peer.address, link, message.desired_version, now
         )
-        leads = self.leads(now)
+        leads = self.membership.leads(now)
         if has_changed and leads and report.scope is Scope.RELAY:
             self._schedule(Scope.DOMAIN, Scope.FLEET)
         elif has_changed and leads and report.scope is Scope.DOMAIN:
@@ -412,14 +286,6 @@
         self._changed_scopes.update(scopes)
         self._usage_changed.set()
 
-    def _on_aggregator_named(self, address: str, failure_domain: str) -> None:
-        """Adds an aggregator that another relay of its failure domain reports to."""
-        self.add_peer(address, failure_domain)
-        peer = self.peer_by_address.get(address)
-        if peer is not None and peer.forgotten_s is not None:
-            peer.forgotten_s = None
-            peer.added_s = loop_time()
-
     def _update_others(self, leads: bool, now: float) -> None:
         """Updates the usage and the numbers of the other relays."""
         self._others_updated_s = now
@@ -427,59 +293,19 @@
         if not leads:
             found = [
                 peer
-                for peer in self.peer_by_address.values()
+                for peer in self.membership.peer_by_address.values()
                 if peer.forgotten_s is None and not peer.shutting_down
             ]
             self._counts = self._fleet_usage.counts(1 + len(found), now)
         self._on_others_changed()
 
     def _connect_missing(self, now: float) -> None:
-        wanted = self._wanted(now)
-        for peer in self.peer_by_address.values():
-            if peer.address not in wanted:
-                peer.wanted_since_s = None
-        for address in wanted:
-            peer = self.peer_by_address[address]
-            if peer.wanted_since_s is None:
-                peer.wanted_since_s = now
-            if self._link_to(address) is None:
-                task = asyncio.ensure_future(self._connect(address))
+        for peer in self.membership.update_wanted(now):
+            if self._link_to(peer.address) is None:
+                task = asyncio.ensure_future(self._connect(peer.address))
                 self._connecting.add(task)
                 task.add_done_callback(self._connecting.discard)
 
-    def _wanted(self, now: float) -> list[str]:
-        """Returns the peers that this relay exchanges reports with as a sender.
-
-        Relays that are silent but would be aggregators if they were heard are included.
-        """
-        domains = {self._identity.failure_domain}
-        if self.is_aggregator(now):
-            peers = self.peer_by_address.values()
-            domains |= {peer.failure_domain for peer in peers}
-        wanted = []
-        for domain in sorted(domains):
-            usable_count = 0
-            for address in self._ranked(domain):
-                if usable_count == AGGREGATORS_PER_DOMAIN:
-                    break
-                usable_count += self._is_usable(address, now)
-                if address != self.address:
-                    wanted.append(address)
-        return wanted
-
-    def _ranked(self, failure_domain: str) -> list[str]:
-        """Returns the relays that may aggregate a failure domain, in their order."""
-        addresses = [
-            peer.address
-            for peer in self.peer_by_address.values()
-            if peer.failure_domain == failure_domain
-            and not peer.shutting_down
-            and peer.forgotten_s is None
-        ]
-        if failure_domain == self._identity.failure_domain and not self._shutting_down:
-            addresses.append(self.address)
-        return rank_aggregators(failure_domain, addresses)
-
     async def _connect(self, address: str) -> None:
         """Links to a peer and tells it who this relay is."""
         try:
@@ -504,39 +330,20 @@
                 if self._link_to(address) is None:
                     self._timeline.record("peer_lost", peer=address)
                     self._on_link_lost(address)
-        if not self.is_aggregator(now):
-            self._aggregator_since_s = None
-        elif self._aggregator_since_s is None:
-            self._aggregator_since_s = now
-        for peer in self.peer_by_address.values():
-            expected_since_s = self._expected_since_s(peer)
-            if expected_since_s is None or peer.forgotten_s is not None:
-                continue
-            if now - max(expected_since_s, peer.heard_s or 0.0) > GONE_AFTER_S:
-                peer.forgotten_s = now
-                peer.wanted_since_s = None
-                self._fleet_usage.forget(peer.address)
-                self._forwarder.forget(peer.address)
-                self._timeline.record("peer_forgotten", peer=peer.address)
-
-    def _expected_since_s(self, peer: Peer) -> float | None:
-        """Returns the time in s since which a peer should report; None if it need not.
-
-        Relays report to the aggregators of their failure domain.
-        """
-        is_own_domain = peer.failure_domain == self._identity.failure_domain
-        if is_own_domain and self._aggregator_since_s is not None:
-            return max(peer.added_s, self._aggregator_since_s)
-        return peer.wanted_since_s
+        for peer in self.membership.take_for_gone(now):
+            self._fleet_usage.forget(peer.address)
+            self._forwarder.forget(peer.address)
+            self._timeline.record("peer_forgotten", peer=peer.address)
 
     def _send_reports(self, now: float) -> None:
         """Sends the reports that are due."""
         usage = self._local_usage()
         self._sequence += 1
         self._fleet_usage.on_own_report(self._sequence, usage)
-        wanted = [self.peer_by_address[address] for address in self._wanted(now)]
-        aggregators = self.aggregators(now)
-        leads = self.leads(now)
+        peers = self.membership.peer_by_address
+        wanted = [peers[address] for address in self.membership.wanted(now)]
+        aggregators = self.membership.aggregators(now)
+        leads = self.membership.leads(now)
         self._send_own_report(usage, aggregators, wanted, now)
         if self.address in aggregators:
             self._send_sums(usage, aggregators, wanted, now)
@@ -562,12 +369,12 @@
 
         Only leading aggregators exchange sums as often as usage changes.
         """
-        leads = self.leads(now)
+        leads = self.membership.leads(now)
         domain_report = self._domain_report(usage, now)
         message = self._report_message(domain_report, aggregators)
         for peer in wanted:
             if peer.failure_domain != self._identity.failure_domain:
-                is_lead = peer.address == self._lead(peer.failure_domain, now)
+                is_lead = peer.address == self.membership.lead(peer.failure_domain, now)
                 self._send_paced(peer, message, leads and is_lead, now)
         fleet_report = self._fleet_usage.fleet_report(domain_report, now)
         self._counts = RelayCounts(fleet_report.relay_count, fleet_report.silent_count)
@@ -575,7 +382,9 @@
             included = self._fleet_usage.member_sequence(address)
             report = fleet_report._replace(included_sequence=included)
             message = self._report_message(report, aggregators)
-            self._send_paced(self.peer_by_address[address], message, leads, now)
+            self._send_paced(
+                self.membership.peer_by_address[address], message, leads, now
+            )
 
     def _report_message(
         self, report: UsageReport, aggregators: list[str]
@@ -603,36 +412,14 @@
         if self.send_to(peer.address, message):
             peer.sent_s_by_scope[scope] = now
 
-    def leads(self, now: float) -> bool:
-        """Returns whether this relay is the leading aggregator of its domain."""
-        return self._lead(self._identity.failure_domain, now) == self.address
-
-    def _lead(self, failure_domain: str, now: float) -> str | None:
-        """Returns the first aggregator of a failure domain that is heard."""
-        aggregators = self.aggregators(now, failure_domain)
-        for address in aggregators:
-            peer = self.peer_by_address.get(address)
-            if peer is None or (
-                peer.aggregated_s is not None
-                and peer.heard_s is not None
-                and now - peer.heard_s <= LEAD_SILENT_AFTER_S
-            ):
-                return address
-        return aggregators[0] if aggregators else None
-
     def _domain_report(self, usage: Usage, now: float) -> UsageReport:
-        own_domain = self._identity.failure_domain
-        addresses = [
-            peer.address
-            for peer in self.peer_by_address.values()
-            if peer.failure_domain == own_domain and peer.forgotten_s is None
-        ]
+        addresses = [peer.address for peer in self.membership.in_own_domain()]
         return self._fleet_usage.domain_report(
             usage,
             addresses,
             self._sequence,
             self._store_reachable(),
-            self.leads(now),
+            self.membership.leads(now),
             now,
         )
 
--- a/wasabimux/relay/owners.py
+++ b/wasabimux/relay/owners.py
@@ -182,7 +182,7 @@
     def _next_hop(self, engine: UpstreamId) -> str:
         """Returns the relay to send a request to: the owner, or one that knows it."""
         now = loop_time()
-        aggregators = self._mesh.aggregators(now)
+        aggregators = self._mesh.membership.aggregators(now)
         if self._mesh.address in aggregators:
             return self._owner(engine)
         return aggregators[0] if aggregators else self._mesh.address
--- a/wasabimux/relay/process.py
+++ b/wasabimux/relay/process.py
@@ -167,7 +167,7 @@
         "incarnation": relay.incarnation,
         "desired_version": desired.version if desired else None,
         "evacuated": sorted(relay.view.evacuated_domains),
-        "peers": sorted(relay.mesh.peer_by_address),
+        "peers": sorted(relay.mesh.membership.peer_by_address),
         "waiting": relay.slots.waiting,
         "upstreams": {
             upstream.id: {
--- a/wasabimux/relay/registration.py
+++ b/wasabimux/relay/registration.py
@@ -128,13 +128,15 @@
     def _next_read_delay_s(self, now: float) -> float:
         """Returns the time in s until this relay may have to read the entries."""
         longest_s = LOST_READ_INTERVAL_S
-        if self._mesh.is_aggregator(now):
+        if self._mesh.membership.is_aggregator(now):
             longest_s = AGGREGATOR_READ_INTERVAL_S
         return self._rng.uniform(longest_s / 2, longest_s)
 
     def _should_read(self, now: float) -> bool:
         """Returns whether this relay has to find other relays by itself."""
-        return self._mesh.is_aggregator(now) or not self._mesh.hears_aggregator(now)
+        return self._mesh.membership.is_aggregator(
+            now
+        ) or not self._mesh.membership.hears_aggregator(now)
 
     async def _refresh(self, allow_stale: bool) -> None:
         """Reads the entries, and deletes those of relays that are gone.
@@ -146,7 +148,7 @@
             listed = await self._store.list(self._kind, allow_stale)
             self._add_peers(listed.objects)
             for item in listed.objects:
-                if self._mesh.is_gone(_address_of(item), loop_time()):
+                if self._mesh.membership.is_gone(_address_of(item), loop_time()):
                     await self._delete(item)
         except StoreUnavailable as error:
             self._timeline.record("registration_failed", error=error)
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -214,7 +214,7 @@
                 timeline,
                 rng,
                 self._watcher_count,
-                lambda: self.mesh.is_informed_by_peer(loop_time()),
+                lambda: self.mesh.membership.is_informed_by_peer(loop_time()),
             )
             for kind in (kinds.desired_state, kinds.upstreams, kinds.evacuations)
         ]
