Read the change once more: one walk over the other domains, one test handler

A parameter without use and a handler that stood twice in a test are gone. Behaviour, bounds and checks are as before.

--- a/tests/test_aggregation.py
+++ b/tests/test_aggregation.py
@@ -160,7 +160,7 @@
 
 def test_a_relay_that_leaves_is_not_silent(aggregator: FleetUsage) -> None:
     aggregator.on_report("m", 1, "zone-a", report(charges(10.0)), 0.0)
-    aggregator.on_leaving("m", 0.1)
+    aggregator.on_leaving("m")
     later_s = 2 * SILENT_AFTER_S
     domain = aggregator.domain_report(Usage(), ["m"], 1, True, True, later_s)
     assert (domain.relay_count, domain.silent_count) == (1, 0)
--- a/tests/test_upstream_faults.py
+++ b/tests/test_upstream_faults.py
@@ -16,7 +16,12 @@
     MAX_WHOLE_BODY_BYTES,
     HttpClient,
 )
-from wasabimux.adapters.http_server import HttpRequest, HttpServer, json_response
+from wasabimux.adapters.http_server import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    json_response,
+)
 from wasabimux.ports import UpstreamLost
 from wasabimux.relay._events import MAX_EVENT_BYTES, SseSplitter
 from wasabimux.relay.generation import STALL_TIMEOUT_S
@@ -221,13 +226,15 @@
         assert events == [b"data: token-%d" % number for number in range(1, 6)]
 
 
+async def respond_with_target(request: HttpRequest) -> HttpResponse:
+    """Handles a request by returning its target."""
+    return json_response(200, {"target": request.target})
+
+
 async def test_a_request_that_has_arrived_is_answered_in_a_planned_stop() -> None:
     """Regression: a kept connection was closed with a request in its buffer."""
 
-    async def handle(request: HttpRequest) -> object:
-        return json_response(200, {"target": request.target})
-
-    server = HttpServer(handle)  # type: ignore[arg-type]
+    server = HttpServer(respond_with_target)
     async with server:
         address = await server.listen("127.0.0.1", 0)
         reader, writer = await asyncio.open_connection(*address)
@@ -244,10 +251,7 @@
 
 
 async def test_a_connection_that_waits_to_be_accepted_is_served() -> None:
-    async def handle(request: HttpRequest) -> object:
-        return json_response(200, {"target": request.target})
-
-    server = HttpServer(handle)  # type: ignore[arg-type]
+    server = HttpServer(respond_with_target)
     async with server:
         address = await server.listen("127.0.0.1", 0)
         with socket.create_connection(address) as waiting:
--- a/wasabimux/decisions/aggregation.py
+++ b/wasabimux/decisions/aggregation.py
@@ -16,12 +16,7 @@
 
 from wasabimux.decisions.memory_forecast import ZERO_FORECAST
 from wasabimux.decisions.placement import rendezvous_top
-from wasabimux.decisions.usage_sums import (
-    NO_USAGE,
-    Usage,
-    subtract_usage,
-    sum_usage,
-)
+from wasabimux.decisions.usage_sums import NO_USAGE, Usage, subtract_usage, sum_usage
 
 #: Aggregators of each failure domain. With two, one may fail without a gap.
 AGGREGATORS_PER_DOMAIN = 2
@@ -173,7 +168,7 @@
             sources[address] = _Heard(incarnation, report, now)
         return before is None or _has_changed(before.report.usage, report.usage)
 
-    def on_leaving(self, address: str, now: float) -> None:
+    def on_leaving(self, address: str) -> None:
         """Records that a relay has announced its shutdown."""
         member = self._member_by_address.get(address)
         if member is not None:
@@ -239,10 +234,7 @@
             now: Current time in s.
         """
         relay_count, silent = domain_report.relay_count, domain_report.silent_count
-        for domain in self._sources_by_domain:
-            heard = self._best_source(domain, now)
-            if heard is None or domain == self._domain:
-                continue
+        for heard in self._other_domains(now):
             relay_count += heard.report.relay_count
             if heard.is_silent(now):
                 silent += heard.report.relay_count
@@ -309,12 +301,16 @@
 
     def _other_domains_usage(self, now: float) -> Usage:
         """Returns the usage of the other failure domains."""
-        sources = [
-            self._best_source(domain, now)
-            for domain in self._sources_by_domain
+        return sum_usage(heard.usage(now) for heard in self._other_domains(now))
+
+    def _other_domains(self, now: float) -> list[_Heard]:
+        """Returns the report to use of each other failure domain."""
+        reports = [
+            _best(sources.values(), now)
+            for domain, sources in self._sources_by_domain.items()
             if domain != self._domain
         ]
-        return sum_usage(source.usage(now) for source in sources if source is not None)
+        return [heard for heard in reports if heard is not None]
 
     def _domain_counts(self, addresses: Iterable[str], now: float) -> RelayCounts:
         known, silent = 1, 0
@@ -326,9 +322,6 @@
             silent += member is None or member.is_silent(now)
         return RelayCounts(known, silent)
 
-    def _best_source(self, domain: str, now: float) -> _Heard | None:
-        return _best(self._sources_by_domain[domain].values(), now)
-
 
 def _best(heard: Iterable[_Heard], now: float) -> _Heard | None:
     """Returns the report that misses the fewest relays, of these the lead's latest."""
--- a/wasabimux/relay/forwarding.py
+++ b/wasabimux/relay/forwarding.py
@@ -14,10 +14,7 @@
     ForwardedObjects,
     KindRevision,
 )
-from wasabimux.relay.ports import (
-    ObjectChange,
-    PlatformObject,
-)
+from wasabimux.relay.ports import ObjectChange, PlatformObject
 from wasabimux.relay.view import FleetView
 
 #: Time in s for which a peer may lag before newer objects are forwarded to it. Usually
--- a/wasabimux/relay/mesh.py
+++ b/wasabimux/relay/mesh.py
@@ -202,7 +202,7 @@
             self._on_report(link, peer, message, now)
         elif isinstance(message, RelayLeaving):
             peer.shutting_down = True
-            self._fleet_usage.on_leaving(peer.address, now)
+            self._fleet_usage.on_leaving(peer.address)
 
     def on_view_changed(self) -> None:
         """Passes changes of the view on to the relays that rely on this one."""
--- a/wasabimux/relay/view.py
+++ b/wasabimux/relay/view.py
@@ -15,11 +15,7 @@
 from wasabimux.decisions.route_table import RouteTable
 from wasabimux.ids import NO_REVISION, FailureDomainId, StoreRevision, UpstreamId
 from wasabimux.relay.model import DesiredState, RelayRoute, UpstreamRecord
-from wasabimux.relay.ports import (
-    DocumentDecoder,
-    ObjectChange,
-    PlatformObject,
-)
+from wasabimux.relay.ports import DocumentDecoder, ObjectChange, PlatformObject
 from wasabimux.timeline import Timeline
 
 
