--- a/wasabimux/ids.py
+++ b/wasabimux/ids.py
@@ -15,6 +15,9 @@
 KeyDigest = NewType("KeyDigest", str)
 ModelName = NewType("ModelName", str)
 
+#: Part of a prompt, which prompts with the same text share.
+PromptPartId = NewType("PromptPartId", str)
+
 #: Number that distinguishes restarts of one process. Never zero.
 Incarnation = NewType("Incarnation", int)
 
--- a/wasabimux/platform/headers.py
+++ b/wasabimux/platform/headers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from wasabimux.headers import end_to_end_headers
-from wasabimux.ids import RequestId
+from wasabimux.ids import PromptPartId, RequestId
 from wasabimux.ports import Headers
 from wasabimux.relay.model import RequestMetadata, ResponseMetadata, SendOptions
 
@@ -12,6 +12,9 @@
 DEADLINE_MS = b"wasabimux-deadline-ms"
 #: Number of prompt tokens and maximum number of output tokens, separated by a comma.
 TOKEN_COUNT = b"wasabimux-token-count"
+#: Parts of the prompt in order, as comma-separated ID:TOKENS. Requests share parts; the
+#: last one belongs to the request or its session.
+PROMPT_PREFIX = b"wasabimux-prompt-prefix"
 #: Client's estimate of the number of output tokens: correct at the median, but often
 #: far off.
 LENGTH_HINT = b"wasabimux-length-hint"
@@ -66,6 +69,7 @@
             output_tokens,
             _integer(by_name.get(LAST_EVENT_ID)),
             _integer(by_name.get(LENGTH_HINT)),
+            _shared_parts(by_name.get(PROMPT_PREFIX)),
         )
 
     def request_headers(self, headers: Headers, options: SendOptions) -> Headers:
@@ -122,6 +126,13 @@
     return (integers[0], integers[1]) if len(integers) == 2 else (0, 0)
 
 
+def _shared_parts(value: bytes | None) -> tuple[PromptPartId, ...]:
+    """Returns the parts that other prompts may share: all but the last one."""
+    entries = [] if value is None else value.decode("latin-1").split(",")
+    ids = [entry.partition(":")[0].strip() for entry in entries]
+    return tuple(PromptPartId(part) for part in ids[:-1] if part)
+
+
 def _integers(value: bytes | None) -> list[int]:
     parts = [] if value is None else value.split(b",")
     if not all(part.strip().isdigit() for part in parts):
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -239,7 +239,13 @@
         slot.on_first_event(loop_time())
         first_ms = round((loop_time() - request.arrived_s) * 1000)
         self._metrics.on_step("first_event", first_ms / 1000)
-        self._recorder.record(request, "first_event", engine, first_ms=first_ms)
+        self._recorder.record(
+            request,
+            "first_event",
+            engine,
+            first_ms=first_ms,
+            parts=request.metadata.parts_text,
+        )
         return stream
 
     async def _start_stream(
@@ -265,8 +271,7 @@
         except UpstreamLost as error:
             if not error.sent:
                 request.ran = previous_ran
-            engine.health.on_failure(loop_time())
-            self._recorder.record(request, "decode_lost", engine, error=error)
+            self._on_start_lost(request, engine, error)
             raise request.refusal_error(
                 ErrorCode.UPSTREAM_LOST, "the engine did not respond", RETRY_AFTER_S
             ) from error
@@ -327,14 +332,26 @@
         try:
             await self._await_unless_stalled(request, self._read_events(stream))
         except UpstreamLost as error:
-            engine.health.on_failure(loop_time())
-            self._recorder.record(request, "decode_lost", engine, error=error)
+            self._on_start_lost(request, engine, error)
             raise request.refusal_error(
                 ErrorCode.UPSTREAM_LOST, "the stream was lost before its first event"
             ) from error
         engine.health.on_success(0.0, loop_time())
         return stream
 
+    def _on_start_lost(
+        self, request: RelayRequest, engine: Upstream, error: UpstreamLost
+    ) -> None:
+        """Records that a stream was lost before its first event."""
+        engine.health.on_failure(loop_time())
+        self._recorder.record(
+            request,
+            "decode_lost",
+            engine,
+            error=error,
+            parts=request.metadata.parts_text,
+        )
+
     async def _await_unless_stalled(
         self,
         request: RelayRequest,
@@ -493,7 +510,12 @@
         engine = stream.slot.upstream
         engine.health.on_failure(loop_time())
         self._recorder.record(
-            request, "stream_broken", engine, events=progress.events, error=error
+            request,
+            "stream_broken",
+            engine,
+            events=progress.events,
+            error=error,
+            parts=request.metadata.parts_text,
         )
 
 
--- a/wasabimux/relay/model.py
+++ b/wasabimux/relay/model.py
@@ -6,7 +6,16 @@
 from typing import NamedTuple
 
 from wasabimux.decisions.rate import RateLimit
-from wasabimux.ids import FailureDomainId, RequestId, UpstreamId, WorkspaceId
+from wasabimux.ids import (
+    FailureDomainId,
+    PromptPartId,
+    RequestId,
+    UpstreamId,
+    WorkspaceId,
+)
+
+#: Most parts of a prompt in one log line.
+MAX_LOGGED_PARTS = 8
 
 
 class RequestKind(Enum):
@@ -216,6 +225,7 @@
         last_event_id: Event after which a stream is resumed, None to start it.
         expected_tokens: Client's estimate of the number of output tokens, None if not
             given.
+        shared_parts: Parts of the prompt that other prompts may share, in order.
     """
 
     id: RequestId
@@ -225,12 +235,18 @@
     output_tokens: int
     last_event_id: int | None
     expected_tokens: int | None = None
+    shared_parts: tuple[PromptPartId, ...] = ()
 
     @property
     def has_token_counts(self) -> bool:
         """True if the request has token counts, which marks a generation request."""
         return self.prompt_tokens > 0 or self.output_tokens > 0
 
+    @property
+    def parts_text(self) -> str:
+        """The shared parts of the prompt as text for a log line."""
+        return ",".join(self.shared_parts[:MAX_LOGGED_PARTS])
+
 
 class SendOptions(NamedTuple):
     """Values that a relay sets in the headers of a forwarded request.
