--- a/wasabimux/platform/standins/runner.py
+++ b/wasabimux/platform/standins/runner.py
@@ -18,6 +18,7 @@
 from wasabimux.errors import ErrorCode, refused
 from wasabimux.platform import headers as header_names
 from wasabimux.ports import Headers
+from wasabimux.settings.address import parse_address
 
 #: Time in s between the comments of a stalled stream.
 COMMENT_INTERVAL_S = 0.25
@@ -60,6 +61,8 @@
             None for complete responses.
         fail_kv_cache_copies: True to stop a stream for migration without copying its
             KV cache.
+        crashing_part: Part of a prompt on which the runner crashes as it begins to
+            decode; empty for none.
     """
 
     refuse_requests: bool = False
@@ -70,6 +73,7 @@
     delay_s: float = 0.0
     refuse_reservations: bool = False
     fail_kv_cache_copies: bool = False
+    crashing_part: str = ""
 
 
 @dataclass(slots=True)
@@ -107,6 +111,7 @@
             is entered.
         faults: Faults to inject.
         state: Requests received, and reservations and KV caches retained.
+        crashed: True after a crash, until the runner is restarted.
     """
 
     def __init__(
@@ -125,6 +130,7 @@
         self.address = ""
         self.faults = RunnerFaults()
         self.state = _RunnerState()
+        self.crashed = False
         self._aborted_runs: list[RunRecord] = []
         self._migrated_runs: list[RunRecord] = []
         self._numbers = itertools.count(1)
@@ -164,6 +170,22 @@
             entry["phase"] = self.phase
         return entry | fields
 
+    def crash(self) -> None:
+        """Resets all connections and refuses new ones."""
+        self.crashed = True
+        self._server.close()
+
+    async def restart(self, runner_id: str) -> None:
+        """Starts again at the same address, as another incarnation.
+
+        Args:
+            runner_id: Identity of the new incarnation.
+        """
+        self.id = runner_id
+        self._server = HttpServer(self._handle)
+        await self._server.listen(*parse_address(self.address))
+        self.crashed = False
+
     def abort_streams(self) -> None:
         """Cuts every stream that runs now in the middle of an event."""
         self._aborted_runs = self.state.runs[:]
@@ -229,6 +251,9 @@
             )
         self.runs.append(record)
         await asyncio.sleep(self.faults.delay_s)
+        if self._is_crashing(headers):
+            self.crash()
+            raise refused(ErrorCode.CANCELLED, "the runner crashes")
         response_id = (
             b"other" if self.faults.wrong_request_id else record.request_id.encode()
         )
@@ -250,6 +275,12 @@
         response_body = f"answer of {self.id}".encode()
         return HttpResponse(self.faults.status, response_headers, response_body)
 
+    def _is_crashing(self, headers: dict[bytes, bytes]) -> bool:
+        """Returns whether a prompt holds the part on which the runner crashes."""
+        crashing = self.faults.crashing_part
+        parts = headers.get(header_names.PROMPT_PREFIX, b"").decode().split(",")
+        return bool(crashing) and crashing in [part.partition(":")[0] for part in parts]
+
     def _prefill(self, record: RunRecord) -> HttpResponse:
         self.state.prefills.append(record)
         handle = f"handle-{next(self._numbers)}"
