Refuse the part of a prompt on which engines crash, at all relays together

Cause: the loss of an engine counted as a fault of that engine alone. A request that crashes its engine was sent to the next one, each further request like it started from nothing, and no relay related the losses to what the prompts have in common.

Change: a relay that loses a stream before its second event checks whether the engine has crashed (its port refuses connections, or its entry is gone), and tells the other relays which parts were about to begin. Parts that begin elsewhere are cleared. A part that three crashes have in common, and nothing clears, is refused with 503 before anything is sent; neighbours run on. One request tries it again after a minute, later after each further crash. Quarantines are kept in the store, for a restart of all relays.

Why it works: the set of crashes shrinks to what crashes engines, as each sound stream clears its parts within a few tens of milliseconds, at all relays.

--- a/tests/relay_fixtures.py
+++ b/tests/relay_fixtures.py
@@ -27,11 +27,37 @@
         store: Stand-in of the platform's store.
         runners: Stand-ins of the upstreams, by identity.
         relays: The relays under test.
+        runs: Owners of the relays, in the same order.
+        store_address: Address of the store.
     """
 
     store: StandInStore
     runners: dict[str, StandInRunner]
     relays: list[RunningRelay]
+    runs: list[contextlib.AsyncExitStack]
+    store_address: str
+
+    async def start_relay(self, index: int) -> None:
+        """Starts a relay, or starts it again after a stop without a drain."""
+        await self.runs[index].aclose()
+        settings = relay_settings(f"relay-{index}", self.store_address)
+        rng = random.Random(index)
+        run = run_relay(settings, relay_platform(self.store_address), rng)
+        self.relays[index:] = [
+            await self.runs[index].enter_async_context(run),
+            *self.relays[index + 1 :],
+        ]
+
+    async def wait_until_settled(self) -> None:
+        """Waits until all relays are ready and know all upstreams."""
+        await self.wait_until(
+            lambda: all(
+                running.relay.ready
+                and running.relay.membership_settled
+                and len(running.relay.pool.by_id) == len(self.runners)
+                for running in self.relays
+            )
+        )
 
     async def request(
         self,
@@ -193,21 +219,13 @@
             await stack.enter_async_context(runner)
             await store.put("servers", runner.id, runner.store_entry())
         await store.put("config", "main", state or desired_state())
-        running_relays = []
+        runs = [
+            await stack.enter_async_context(contextlib.AsyncExitStack())
+            for _ in range(relays)
+        ]
+        runners_by_id = {runner.id: runner for runner in runners}
+        cluster = RelayCluster(store, runners_by_id, [], runs, address)
         for index in range(relays):
-            settings = relay_settings(f"relay-{index}", address)
-            rng = random.Random(index)
-            run = run_relay(settings, relay_platform(address), rng)
-            running_relays.append(await stack.enter_async_context(run))
-        cluster = RelayCluster(
-            store, {runner.id: runner for runner in runners}, running_relays
-        )
-        await cluster.wait_until(
-            lambda: all(
-                running.relay.ready
-                and running.relay.membership_settled
-                and len(running.relay.pool.by_id) == len(runners)
-                for running in running_relays
-            )
-        )
+            await cluster.start_relay(index)
+        await cluster.wait_until_settled()
         yield cluster
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -10,6 +10,9 @@
 import pytest_asyncio
 
 from tests.relay_fixtures import RelayCluster, relay_cluster
+from wasabimux.decisions.crash_attribution import CrashEvidence, CrashId
+from wasabimux.ids import PromptPartId, UpstreamId
+from wasabimux.link.messages import EngineCrashes
 from wasabimux.platform.standins.runner import StandInRunner
 
 CRASHING_PART = "bad0"
@@ -98,3 +101,95 @@
         await asyncio.sleep(RESTART_DELAY_S / 2)
     sent = decoded(three_relays, CRASHING_PART)
     assert sent <= CRASHES_TO_KNOW + MAX_SENT_AFTERWARDS
+
+
+async def quarantine(cluster: RelayCluster) -> None:
+    """Sends requests with the part until all relays refuse it."""
+    for number in itertools.count(100):
+        await status_of(cluster, number, SHARED_PART, CRASHING_PART)
+        if all(running.relay.quarantine.count for running in cluster.relays):
+            return
+        await asyncio.sleep(RESTART_DELAY_S / 2)
+
+
+async def test_neighbours_of_a_part_in_quarantine_are_served(
+    three_relays: RelayCluster,
+) -> None:
+    await quarantine(three_relays)
+    for number in range(12):
+        status = await status_of(three_relays, number, SHARED_PART, f"d{number}")
+        assert status == 200
+
+
+async def test_refusal_of_a_prompt_promises_that_it_has_not_run(
+    three_relays: RelayCluster,
+) -> None:
+    await quarantine(three_relays)
+    before = decoded(three_relays, CRASHING_PART)
+    response = await three_relays.request(
+        "/gen/1",
+        wasabimux_token_count="150,50",
+        wasabimux_prompt_prefix=f"{SHARED_PART}:50,{CRASHING_PART}:50,c1:50",
+    )
+    async with response:
+        body = await response.body()
+    assert response.status == 503
+    assert b'"prompt_quarantined"' in body
+    assert b'"ran": "no"' in body
+    assert int(dict(response.headers)[b"retry-after"]) >= 1
+    assert decoded(three_relays, CRASHING_PART) == before
+
+
+async def test_lost_connections_to_living_engines_put_nothing_in_quarantine() -> None:
+    async with relay_cluster(relays=2) as cluster:
+        for runner in cluster.runners.values():
+            if runner.phase == "decode":
+                runner.faults.cut_after_events = 0
+        for number in range(12):
+            await status_of(cluster, number, SHARED_PART, CRASHING_PART)
+        await asyncio.sleep(0.3)
+        for running in cluster.relays:
+            assert running.relay.quarantine.count == 0
+            assert running.relay.quarantine._ledger.evidence(0.0) == []
+
+
+async def test_streams_that_wait_for_a_slot_are_refused_with_their_part(
+    three_relays: RelayCluster,
+) -> None:
+    for runner in three_relays.runners.values():
+        runner.faults.refuse_reservations = True
+    relay = three_relays.relays[0].relay
+    waiting = asyncio.ensure_future(
+        status_of(three_relays, 1, SHARED_PART, CRASHING_PART, relay=0)
+    )
+    await three_relays.wait_until(lambda: relay.slots.waiting == 1)
+    for runner in three_relays.runners.values():
+        runner.faults.refuse_reservations = False
+    relay.slots.wake()
+    relay.quarantine.on_peer_evidence(EngineCrashes(True, known_crashes()))
+    assert await waiting == 503
+    assert decoded(three_relays, CRASHING_PART) == 0
+
+
+def known_crashes() -> tuple[CrashEvidence, ...]:
+    """Returns evidence that puts the part in quarantine."""
+    parts = frozenset({PromptPartId(CRASHING_PART)})
+    return tuple(
+        CrashEvidence(CrashId(UpstreamId(f"gone-{number}"), 0), "engines", 0.0, parts)
+        for number in range(3)
+    )
+
+
+async def test_relays_that_all_restart_read_quarantines_from_the_store() -> None:
+    async with relay_cluster() as cluster:
+        relay = cluster.relays[0].relay
+        relay.quarantine.on_peer_evidence(EngineCrashes(True, known_crashes()))
+        await cluster.wait_until(
+            lambda: bool(cluster.store.names("wasabimux-quarantines"))
+        )
+        await cluster.start_relay(0)
+        await cluster.wait_until_settled()
+        for runner in cluster.runners.values():
+            runner.faults.crashing_part = CRASHING_PART
+        assert await status_of(cluster, 1, SHARED_PART, CRASHING_PART) == 503
+        assert decoded(cluster, CRASHING_PART) == 0
--- a/wasabimux/adapters/relay_metrics.py
+++ b/wasabimux/adapters/relay_metrics.py
@@ -51,8 +51,8 @@
         )
         self._state = Gauge(
             "wasabimux_relay_state",
-            "State: peers, silent_peers, waiting_streams, log_lines_dropped, "
-            "loop_lag_seconds.",
+            "State: peers, silent_peers, waiting_streams, quarantined_prompts, "
+            "log_lines_dropped, loop_lag_seconds.",
             registry=registry,
         )
 
--- a/wasabimux/errors.py
+++ b/wasabimux/errors.py
@@ -32,6 +32,7 @@
     NO_UPSTREAM = "no_upstream"
     DRAINING = "draining"
     STALE_SETTINGS = "stale_settings"
+    PROMPT_QUARANTINED = "prompt_quarantined"
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_LOST = "upstream_lost"
     RESULT_EXPIRED = "result_expired"
@@ -55,6 +56,7 @@
     ErrorCode.NO_UPSTREAM: 503,
     ErrorCode.DRAINING: 503,
     ErrorCode.STALE_SETTINGS: 503,
+    ErrorCode.PROMPT_QUARANTINED: 503,
     ErrorCode.UPSTREAM_FAILED: 502,
     ErrorCode.UPSTREAM_LOST: 502,
     ErrorCode.RESULT_EXPIRED: 502,
--- a/wasabimux/link/_relay_codec.py
+++ b/wasabimux/link/_relay_codec.py
@@ -5,12 +5,14 @@
 from typing import Any
 
 from wasabimux.decisions.aggregation import Scope, UsageReport
+from wasabimux.decisions.crash_attribution import CrashEvidence, CrashId
 from wasabimux.decisions.memory_forecast import ZERO_FORECAST
 from wasabimux.decisions.shared_bucket import BucketUsage
 from wasabimux.decisions.usage_sums import UpstreamLoad, Usage
-from wasabimux.ids import StoreRevision
+from wasabimux.ids import PromptPartId, StoreRevision, UpstreamId
 from wasabimux.link.messages import (
     DesiredStateOffer,
+    EngineCrashes,
     ForwardedObject,
     ForwardedObjects,
     KindRevision,
@@ -160,6 +162,37 @@
     builder.desiredOffer = message.document
 
 
+def encode_engine_crashes(builder: Any, message: EngineCrashes) -> None:
+    """Encodes what a relay knows of crashes of engines."""
+    target = builder.init("engineCrashes")
+    target.complete = message.complete
+    crashes = target.init("crashes", len(message.crashes))
+    for item, evidence in zip(crashes, message.crashes):
+        item.upstream, item.startedMs = evidence.crash
+        item.service = evidence.service
+        item.ageMs = min(int(evidence.age_s * 1000), MAX_UINT32)
+        item.suspects = sorted(evidence.suspects)
+        item.cleared = sorted(evidence.cleared)
+
+
+def decode_engine_crashes(item: Any) -> EngineCrashes:
+    """Decodes what a relay knows of crashes of engines."""
+    source = item.engineCrashes
+    return EngineCrashes(
+        source.complete,
+        tuple(
+            CrashEvidence(
+                CrashId(UpstreamId(crash.upstream), crash.startedMs),
+                crash.service,
+                crash.ageMs / 1000,
+                frozenset(PromptPartId(part) for part in crash.suspects),
+                frozenset(PromptPartId(part) for part in crash.cleared),
+            )
+            for crash in source.crashes
+        ),
+    )
+
+
 def encode_slot_release(builder: Any, message: SlotRelease) -> None:
     """Encodes the release of a slot."""
     builder.slotRelease = message.correlation_id
--- a/wasabimux/link/codec.py
+++ b/wasabimux/link/codec.py
@@ -10,12 +10,14 @@
 
 from wasabimux.decisions.rate import GrantDecision, GrantOutcome, GrantReport, Spent
 from wasabimux.link._relay_codec import (
+    decode_engine_crashes,
     decode_forwarded_objects,
     decode_relay_identity,
     decode_relay_report,
     decode_slot_grant_reply,
     decode_slot_grant_request,
     encode_desired_state_offer,
+    encode_engine_crashes,
     encode_forwarded_objects,
     encode_relay_identity,
     encode_relay_report,
@@ -29,6 +31,7 @@
     Data,
     DesiredStateOffer,
     EndStream,
+    EngineCrashes,
     ForwardedObjects,
     FrameItem,
     GrantReply,
@@ -282,6 +285,7 @@
     SlotGrantReply: encode_slot_grant_reply,
     SlotRelease: encode_slot_release,
     DesiredStateOffer: encode_desired_state_offer,
+    EngineCrashes: encode_engine_crashes,
     RelayLeaving: _encode_relay_leaving,
 }
 
@@ -400,6 +404,7 @@
     "relayObjects": decode_forwarded_objects,
     "slotAsk": decode_slot_grant_request,
     "slotAnswer": decode_slot_grant_reply,
+    "engineCrashes": decode_engine_crashes,
     "desiredOffer": lambda item: DesiredStateOffer(item.desiredOffer),
     "slotRelease": lambda item: SlotRelease(item.slotRelease),
     "relayLeaving": lambda item: RelayLeaving(),
--- a/wasabimux/link/messages.py
+++ b/wasabimux/link/messages.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple, Union
 
 from wasabimux.decisions.aggregation import UsageReport
+from wasabimux.decisions.crash_attribution import CrashEvidence
 from wasabimux.decisions.rate import GrantDecision, GrantReport
 from wasabimux.errors import ErrorCode, Ran, Refusal
 from wasabimux.ids import StoreRevision
@@ -306,6 +307,18 @@
     document: bytes
 
 
+class EngineCrashes(NamedTuple):
+    """What the sender knows of crashes of engines.
+
+    Attributes:
+        complete: True if the sender also knows of the crashes before its start.
+        crashes: The crashes that are new, or all of them on a new link.
+    """
+
+    complete: bool
+    crashes: tuple[CrashEvidence, ...]
+
+
 class RelayLeaving(NamedTuple):
     """Announces that the sender is about to shut down gracefully."""
 
@@ -369,6 +382,7 @@
     SlotGrantRequest,
     SlotGrantReply,
     SlotRelease,
+    EngineCrashes,
 ]
 
 
--- a/wasabimux/link/wire.capnp
+++ b/wasabimux/link/wire.capnp
@@ -39,6 +39,7 @@
     relayReport @26 :RelayReport;
     slotRelease @27 :UInt32; # number of the SlotAsk whose slot the sender has released
     desiredOffer @28 :Data; # document of the desired state that the sender has in force
+    engineCrashes @29 :EngineCrashes;
   }
 }
 
@@ -251,3 +252,17 @@
   objects @3 :List(RelayObject);
   era @4 :UInt64;
 }
+
+struct EngineCrash {
+  upstream @0 :Text;
+  startedMs @1 :UInt64;   # start of the engine's process since the epoch, 0 if unknown
+  service @2 :Text;
+  ageMs @3 :UInt32;       # time since the crash
+  suspects @4 :List(Text); # parts of the prompts that were about to begin
+  cleared @5 :List(Text); # those of them that have begun elsewhere
+}
+
+struct EngineCrashes {
+  complete @0 :Bool;      # the sender also knows of the crashes before its start
+  crashes @1 :List(EngineCrash);
+}
--- a/wasabimux/platform/documents.py
+++ b/wasabimux/platform/documents.py
@@ -277,6 +277,7 @@
         evacuations=EVACUATION_KIND,
         relays="wasabimux-relays",
         leases="wasabimux-leases",
+        quarantines="wasabimux-quarantines",
     )
 
     def desired_state(self, value: Any) -> Result[DesiredState, list[Finding]]:
--- a/wasabimux/platform/standins/store.py
+++ b/wasabimux/platform/standins/store.py
@@ -112,6 +112,10 @@
         async with self._changed:
             self._changed.notify_all()
 
+    def names(self, kind: str) -> list[str]:
+        """Returns the names of all objects of a kind."""
+        return list(self._objects_by_kind.get(kind, {}))
+
     def spec(self, kind: str, name: str) -> Any:
         """Returns the spec of an object, None if the object does not exist."""
         stored = self._objects_by_kind.get(kind, {}).get(name)
--- a/wasabimux/ports.py
+++ b/wasabimux/ports.py
@@ -146,6 +146,10 @@
         self.sent = sent
 
 
+class UpstreamStalled(UpstreamLost):
+    """The upstream sends nothing, while its connection holds."""
+
+
 @dataclass(frozen=True, slots=True)
 class PlainCall:
     """HTTP request to a plain service, one that does not generate text.
--- a/wasabimux/relay/context.py
+++ b/wasabimux/relay/context.py
@@ -16,7 +16,7 @@
     Refusal,
     RefusedError,
 )
-from wasabimux.ids import UpstreamId, WorkspaceId
+from wasabimux.ids import PromptPartId, UpstreamId, WorkspaceId
 from wasabimux.ports import Headers
 from wasabimux.relay.model import (
     RelayRoute,
@@ -72,6 +72,7 @@
             one is not charged to the retry budget.
         retry_charged: True if the next retry is already charged to the retry budget.
         response_started: True once a part of the response was passed to the client.
+        trial_of: Quarantined parts of the prompt that this request may try.
     """
 
     metadata: RequestMetadata
@@ -93,6 +94,7 @@
     prefill_sent: bool = False
     retry_charged: bool = False
     response_started: bool = False
+    trial_of: frozenset[PromptPartId] | None = None
 
     @property
     def is_client_retry(self) -> bool:
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -13,13 +13,14 @@
 from wasabimux.adapters.relay_metrics import RelayMetrics
 from wasabimux.decisions.retry_window import ServiceRetryBudgets
 from wasabimux.errors import ErrorCode, Ran, RefusedError
-from wasabimux.ports import UpstreamLost
+from wasabimux.ports import UpstreamLost, UpstreamStalled
 from wasabimux.relay._events import ServerSentEvent, SseSplitter
 from wasabimux.relay.context import PrefilledKv, RelayRequest
 from wasabimux.relay.moves import MigratedStream, StreamMigrator
 from wasabimux.relay.placing import UpstreamSelector
 from wasabimux.relay.ports import HeaderCodec
 from wasabimux.relay.prefill import PrefillDispatcher
+from wasabimux.relay.quarantine import PromptQuarantine
 from wasabimux.relay.records import RequestEventRecorder
 from wasabimux.relay.slots import DecodeSlot, SlotScheduler
 from wasabimux.relay.upstreams import STATUS_MISDIRECTED, Upstream
@@ -34,6 +35,10 @@
 #: events in this time.
 STALL_TIMEOUT_S = 1.0
 
+#: Events of one engine after which a stream counts as begun: an engine may send one
+#: before it crashes on the prompt.
+EVENTS_TO_BEGIN = 2
+
 #: Delay before clients may retry after a failure other than a missing slot.
 RETRY_AFTER_S = 0.5
 
@@ -53,6 +58,8 @@
         splitter: Splits the body into events.
         waited_s: Time in s waited for the engine since its last event with a field.
         ended: True once the engine has ended the stream without an error.
+        events: Number of events with a field that the engine has sent.
+        has_begun: True once the engine has shown that it bears the prompt.
     """
 
     response: ClientResponse
@@ -62,6 +69,8 @@
     splitter: SseSplitter = field(default_factory=SseSplitter)
     waited_s: float = 0.0
     ended: bool = False
+    events: int = 0
+    has_begun: bool = False
 
 
 @dataclass(slots=True)
@@ -90,6 +99,7 @@
         selector: Tells which engines may take requests.
         slot_scheduler: Reserves decode slots.
         migrator: Migrates streams off engines whose memory is nearly full.
+        quarantine: Refuses prompts on which engines crash.
         prefill_dispatcher: Prefills prompts.
         header_codec: Encodes and decodes headers of requests and responses.
         retries: Retry budgets.
@@ -102,6 +112,7 @@
         selector: UpstreamSelector,
         slot_scheduler: SlotScheduler,
         migrator: StreamMigrator,
+        quarantine: PromptQuarantine,
         prefill_dispatcher: PrefillDispatcher,
         header_codec: HeaderCodec,
         retries: ServiceRetryBudgets,
@@ -114,6 +125,7 @@
         self._selector = selector
         self._slot_scheduler = slot_scheduler
         self._migrator = migrator
+        self._quarantine = quarantine
         self._header_codec = header_codec
         self._retries = retries
 
@@ -165,6 +177,8 @@
             return False
         if request.ran is not Ran.NO and not request.route.idempotent:
             return False
+        if not self._quarantine.may_retry(request):
+            return False
         return request.remaining_s(now) > 0 and self._charge_retry(request)
 
     def _charge_retry(self, request: RelayRequest) -> bool:
@@ -179,8 +193,10 @@
 
     async def _attempt(self, request: RelayRequest, after: int | None) -> _EngineStream:
         """Reserves a slot, prefills the prompt if needed and starts decoding."""
+        self._quarantine.check(request)
         slot = await self._slot_scheduler.acquire(request, request.tried_upstreams)
         try:
+            self._quarantine.check(request)
             kv_source = request.kv_source(loop_time())
             if kv_source is None:
                 kv_source = await self._prefill_prompt(request, slot.upstream)
@@ -233,6 +249,7 @@
                 "the engine no longer accepts requests",
                 RETRY_AFTER_S,
             )
+        self._quarantine.check(request)
         request.tried_upstreams.append(engine.id)
         slot.request_sent = True
         stream = await self._start_stream(request, slot, kv_source, after)
@@ -344,6 +361,8 @@
     ) -> None:
         """Records that a stream was lost before its first event."""
         engine.health.on_failure(loop_time())
+        if error.sent and not isinstance(error, UpstreamStalled):
+            self._quarantine.on_start_lost(request, engine)
         self._recorder.record(
             request,
             "decode_lost",
@@ -369,7 +388,7 @@
             waited_s: Time in s waited since the last progress of the stream.
 
         Raises:
-            UpstreamLost: The stream made no progress for STALL_TIMEOUT_S.
+            UpstreamStalled: The stream made no progress for STALL_TIMEOUT_S.
         """
         task = asyncio.ensure_future(step)
         try:
@@ -378,7 +397,9 @@
             await asyncio.wait({task}, timeout=timeout_s)
             if not task.done() and self._charge_retry(request):
                 request.retry_charged = True
-                raise UpstreamLost("stream stalled: no data from the engine", sent=True)
+                raise UpstreamStalled(
+                    "stream stalled: no data from the engine", sent=True
+                )
             return await task
         finally:
             task.cancel()
@@ -445,6 +466,10 @@
         while True:
             for event in stream.pending:
                 progress.on_event(event)
+                stream.events += not event.is_empty
+                if stream.events == EVENTS_TO_BEGIN and not stream.has_begun:
+                    stream.has_begun = True
+                    self._quarantine.on_begun(request)
                 stream.slot.on_events(progress.events)
                 request.response_started = True
                 yield event.data
@@ -509,6 +534,8 @@
     ) -> None:
         engine = stream.slot.upstream
         engine.health.on_failure(loop_time())
+        if not stream.has_begun and not isinstance(error, UpstreamStalled):
+            self._quarantine.on_start_lost(request, engine)
         self._recorder.record(
             request,
             "stream_broken",
--- a/wasabimux/relay/mesh.py
+++ b/wasabimux/relay/mesh.py
@@ -78,6 +78,7 @@
     Attributes:
         membership: The relays found, and their part in aggregation.
         others: Usage of the other relays.
+        on_linked: Called with each link on which a peer has told who it is.
     """
 
     def __init__(
@@ -94,6 +95,7 @@
         timeline: Timeline,
     ) -> None:
         self.others: Usage = NO_USAGE
+        self.on_linked: Callable[[Link], None] = lambda link: None
         self._identity = RelayIdentity(address, failure_domain)
         self.membership = Membership(self._identity)
         self._links = links
@@ -152,6 +154,11 @@
         link.send(0, message)
         return True
 
+    def broadcast(self, message: Message) -> None:
+        """Sends a message to all relays that this one is linked to."""
+        for link in self._address_by_link:
+            link.send(0, message)
+
     def address_of(self, link: Link) -> str | None:
         """Returns the address of the peer at the other end of a link, if known."""
         return self._address_by_link.get(link)
@@ -256,6 +263,7 @@
             link.send(0, self._identity)
         peer.sent_s_by_scope.clear()
         self._usage_changed.set()
+        self.on_linked(link)
 
     def _on_report(
         self, link: Link, peer: Peer, message: RelayReport, now: float
--- a/wasabimux/relay/ports.py
+++ b/wasabimux/relay/ports.py
@@ -137,6 +137,7 @@
             receives no requests.
         relays: Kind of the relays' entries.
         leases: Kind of the leases of tasks that one relay performs at a time.
+        quarantines: Kind of the quarantines of prompts.
     """
 
     desired_state: str
@@ -145,6 +146,7 @@
     evacuations: str
     relays: str
     leases: str
+    quarantines: str
 
 
 class DocumentDecoder(Protocol):
--- /dev/null
+++ b/wasabimux/relay/quarantine.py
@@ -0,0 +1,268 @@
+"""Refuses prompts with parts on which engines crash, at all relays together.
+
+Each relay reports the crashes that it has seen, and the streams that have begun, to the
+relays that it is linked to, which pass on what is new to them. Parts in quarantine are
+kept in the platform's store as well, for the case that all relays restart.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from wasabimux._clock import loop_time
+from wasabimux.decisions.crash_attribution import (
+    CrashEvidence,
+    CrashId,
+    CrashLedger,
+    Quarantine,
+)
+from wasabimux.decisions.placement import rendezvous_top
+from wasabimux.errors import ErrorCode, RefusedError
+from wasabimux.ids import PromptPartId
+from wasabimux.link.link import Link
+from wasabimux.link.messages import EngineCrashes
+from wasabimux.relay.context import RelayRequest
+from wasabimux.relay.mesh import Mesh
+from wasabimux.relay.quarantine_store import QuarantineStore
+from wasabimux.relay.upstreams import ListenerState, Upstream, UpstreamPool
+from wasabimux.timeline import Timeline
+
+#: Time in s between checks whether an engine that cut a stream has ended, and for how
+#: long it is checked. An engine whose host is silent is gone once its entry lapses.
+CHECK_ENDED_INTERVAL_S = 0.05
+CHECK_ENDED_S = 5.0
+
+#: Time in s after its start for which a relay that has heard neither the store nor a
+#: peer refuses prompts, as it does not know which are in quarantine.
+UNKNOWN_REFUSED_S = 2.0
+
+#: Delay before clients may retry while the quarantine is not known.
+UNKNOWN_RETRY_AFTER_S = 0.5
+
+#: Bounds of the Retry-After of prompts in quarantine.
+MIN_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 60.0
+
+#: Time in s after which a trial that has shown nothing may be repeated.
+TRIAL_TIMEOUT_S = 30.0
+
+#: Time in s between expiries, and between writes to the store.
+CHECK_INTERVAL_S = 0.5
+
+
+class PromptQuarantine:
+    """Learns which prompts crash engines, and refuses them.
+
+    Args:
+        pool: Upstreams that are registered.
+        mesh: Links to the other relays.
+        store: Keeps quarantines over a restart of all relays.
+        timeline: Records crashes and quarantines.
+        on_change: Called after parts were put in quarantine.
+    """
+
+    def __init__(
+        self,
+        pool: UpstreamPool,
+        mesh: Mesh,
+        store: QuarantineStore,
+        timeline: Timeline,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._pool = pool
+        self._mesh = mesh
+        self._store = store
+        self._timeline = timeline
+        self._on_change = on_change
+        self._ledger = CrashLedger()
+        self._known = False
+        self._started_s = loop_time()
+        self._unconfirmed_by_engine: dict[Upstream, set[PromptPartId]] = {}
+        self._checks: set[asyncio.Task[None]] = set()
+        self._quarantined: frozenset[frozenset[PromptPartId]] = frozenset()
+        self._trial_s_by_parts: dict[frozenset[PromptPartId], float] = {}
+
+    def __enter__(self) -> PromptQuarantine:
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for check in self._checks:
+            check.cancel()
+
+    @property
+    def count(self) -> int:
+        """Number of quarantines."""
+        return len(self._quarantined)
+
+    def check(self, request: RelayRequest) -> None:
+        """Checks that a prompt may be sent to an engine.
+
+        Raises:
+            RefusedError: The prompt is in quarantine.
+        """
+        refusal = self.refusal_of(request)
+        if refusal is not None:
+            raise refusal
+
+    def refusal_of(self, request: RelayRequest) -> RefusedError | None:
+        """Returns the error that refuses a prompt in quarantine, None if it is not.
+
+        One request at a time may try the parts again, after some time.
+        """
+        parts = request.metadata.shared_parts
+        now = loop_time()
+        if not parts:
+            return None
+        if not self._known and now - self._started_s < UNKNOWN_REFUSED_S:
+            return request.refusal_error(
+                ErrorCode.STALE_SETTINGS,
+                "it is not known yet which prompts are in quarantine",
+                UNKNOWN_RETRY_AFTER_S,
+            )
+        found = self._ledger.quarantine_of(request.service.name, parts)
+        if found is None or request.trial_of == found.parts:
+            return None
+        if self._try_again(found, now):
+            request.trial_of = found.parts
+            return None
+        wait_s = found.last_crash_s + found.trial_delay_s - now
+        return request.refusal_error(
+            ErrorCode.PROMPT_QUARANTINED,
+            "engines crash on a part of this prompt",
+            max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, wait_s)),
+        )
+
+    def may_retry(self, request: RelayRequest) -> bool:
+        """Returns whether a request that was lost as it began may be sent again."""
+        parts = request.metadata.shared_parts
+        return not self._ledger.is_suspect(request.service.name, parts)
+
+    def on_start_lost(self, request: RelayRequest, engine: Upstream) -> None:
+        """Records that an engine cut a stream that was about to begin."""
+        parts = request.metadata.shared_parts
+        is_current = self._pool.by_id.get(engine.id) is engine
+        if not parts or not is_current or engine.record.draining:
+            return
+        suspects = self._unconfirmed_by_engine.get(engine)
+        if suspects is not None:
+            suspects.update(parts)
+            return
+        self._unconfirmed_by_engine[engine] = set(parts)
+        check = asyncio.ensure_future(self._check_ended(engine))
+        self._checks.add(check)
+        check.add_done_callback(self._checks.discard)
+
+    def on_begun(self, request: RelayRequest) -> None:
+        """Records that a stream has begun."""
+        now = loop_time()
+        parts = request.metadata.shared_parts
+        self._share(self._ledger.on_begun(request.service.name, parts, now), now)
+
+    def on_linked(self, link: Link) -> None:
+        """Tells a peer all that is known, once a link to it is established."""
+        evidence = tuple(self._ledger.evidence(loop_time()))
+        link.send(0, EngineCrashes(self._known, evidence))
+
+    def on_peer_evidence(self, message: EngineCrashes) -> None:
+        """Merges the evidence of a peer."""
+        self._known = self._known or message.complete
+        self._merge(message.crashes)
+
+    async def run(self) -> None:
+        """Reads and writes quarantines in the store until it is cancelled."""
+        while True:
+            if not self._store.loaded:
+                self._merge(await self._store.load())
+                self._known = self._known or self._store.loaded
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self._ledger.expire(loop_time())
+            self._note_changes()
+            if self._store.loaded:
+                await self._store.update(self._ledger.quarantines())
+
+    async def _check_ended(self, engine: Upstream) -> None:
+        """Records a crash once it is known that the engine's process has ended.
+
+        A connection may also be lost while the engine lives, which is no evidence.
+        """
+        try:
+            until_s = loop_time() + CHECK_ENDED_S
+            while loop_time() < until_s:
+                await asyncio.sleep(CHECK_ENDED_INTERVAL_S)
+                is_gone = self._pool.by_id.get(engine.id) is not engine
+                state = await engine.probe()
+                if is_gone or state is ListenerState.REFUSING:
+                    self._on_crash(engine)
+                    return
+                if state is ListenerState.LISTENING:
+                    return
+        finally:
+            del self._unconfirmed_by_engine[engine]
+
+    def _on_crash(self, engine: Upstream) -> None:
+        suspects = frozenset(self._unconfirmed_by_engine[engine])
+        crash_id = CrashId(engine.id, engine.record.started_ms)
+        self._merge([CrashEvidence(crash_id, engine.record.service, 0.0, suspects)])
+
+    def _merge(self, crashes: Iterable[CrashEvidence]) -> None:
+        now = loop_time()
+        merged = [self._ledger.merge(evidence, now) for evidence in crashes]
+        changed = [evidence for evidence in merged if evidence is not None]
+        for evidence in changed:
+            self._timeline.record(
+                "engine_crashed",
+                upstream=evidence.crash.upstream,
+                age_s=round(evidence.age_s, 1),
+                suspects=",".join(sorted(evidence.suspects)),
+                cleared=",".join(sorted(evidence.cleared)),
+            )
+        self._share(changed, now)
+
+    def _share(self, changed: list[CrashEvidence], now: float) -> None:
+        """Passes evidence that was new to this relay on to the others."""
+        if changed:
+            self._mesh.broadcast(EngineCrashes(self._known, tuple(changed)))
+            self._note_changes()
+
+    def _note_changes(self) -> None:
+        """Records quarantines that have begun or ended."""
+        by_parts = {
+            item.parts: item
+            for items in self._ledger.quarantines().values()
+            for item in items
+        }
+        before, self._quarantined = self._quarantined, frozenset(by_parts)
+        for parts in self._quarantined - before:
+            crashes = len(by_parts[parts].crashes)
+            self._timeline.record(
+                "prompt_quarantined", parts=",".join(sorted(parts)), crashes=crashes
+            )
+        for parts in before - self._quarantined:
+            self._timeline.record("prompt_released", parts=",".join(sorted(parts)))
+            self._trial_s_by_parts.pop(parts, None)
+        if self._quarantined - before:
+            self._on_change()
+
+    def _try_again(self, quarantine: Quarantine, now: float) -> bool:
+        """Returns whether a request may try parts again, and notes the trial."""
+        if now - quarantine.last_crash_s < quarantine.trial_delay_s:
+            return False
+        tried_s = self._trial_s_by_parts.get(quarantine.parts)
+        if tried_s is not None and now - tried_s < TRIAL_TIMEOUT_S:
+            return False
+        if not self._owns(quarantine, now):
+            return False
+        self._trial_s_by_parts[quarantine.parts] = now
+        self._timeline.record(
+            "quarantine_tried", parts=",".join(sorted(quarantine.parts))
+        )
+        return True
+
+    def _owns(self, quarantine: Quarantine, now: float) -> bool:
+        """Returns whether this relay is the one that may try parts again."""
+        aggregators = self._mesh.live_aggregators(now)
+        key = ",".join(sorted(quarantine.parts)).encode()
+        return not aggregators or (
+            rendezvous_top(key, aggregators, 1)[0] == self._mesh.address
+        )
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -27,6 +27,7 @@
 from wasabimux.link.channels import connect_tcp
 from wasabimux.link.link import Link, LinkTraffic
 from wasabimux.link.messages import (
+    EngineCrashes,
     Message,
     RelayIdentity,
     SlotGrantReply,
@@ -47,6 +48,8 @@
 from wasabimux.relay.plain import PlainCallHandler
 from wasabimux.relay.ports import DocumentDecoder, EngineCodec, HeaderCodec, ObjectStore
 from wasabimux.relay.prefill import PrefillDispatcher
+from wasabimux.relay.quarantine import PromptQuarantine
+from wasabimux.relay.quarantine_store import QuarantineStore
 from wasabimux.relay.records import RequestEventRecorder
 from wasabimux.relay.registration import Registration
 from wasabimux.relay.slots import SlotScheduler
@@ -109,6 +112,7 @@
         view: Local view of the platform's objects.
         pool: Upstreams in the view, with their connections.
         http_server: Server whose limits follow the desired state, None if unset.
+        quarantine: Prompts on which engines crash.
         membership_settled: True once the relay can be taken to know all others.
     """
 
@@ -177,6 +181,19 @@
             rng,
             self.mesh.notify_usage_changed,
         )
+        self.quarantine = PromptQuarantine(
+            self.pool,
+            self.mesh,
+            QuarantineStore(
+                platform.document_decoder.kinds.quarantines,
+                platform.store,
+                self.mesh,
+                timeline,
+            ),
+            timeline,
+            lambda: self.slots.refuse_where(self.quarantine.refusal_of),
+        )
+        self.mesh.on_linked = self.quarantine.on_linked
         self._admission = Admission(
             self.view, platform.header_codec, self._buckets, timeline, rng
         )
@@ -190,6 +207,7 @@
             self.selector,
             self.slots,
             self._stream_migrator,
+            self.quarantine,
             PrefillDispatcher(
                 self.selector,
                 platform.header_codec,
@@ -255,6 +273,7 @@
     def __exit__(self, *exc_info: object) -> None:
         for task in self._tasks:
             task.cancel()
+        self.quarantine.__exit__()
         self.links.__exit__()
         self.pool.__exit__()
 
@@ -266,6 +285,7 @@
             self.slots.run,
             self._stream_migrator.run,
             self._registration.run,
+            self.quarantine.run,
         ]
         runs += [self.phases.run, self._check_periodically]
         self._started_s = loop_time()
@@ -388,6 +408,8 @@
             self.slot_arbiter.on_slot_answer(message)
         elif isinstance(message, SlotRelease):
             self.slot_arbiter.on_slot_release(link, message)
+        elif isinstance(message, EngineCrashes):
+            self.quarantine.on_peer_evidence(message)
         else:
             self.mesh.on_message(link, message)
 
@@ -446,6 +468,7 @@
         self._metrics.set_state("peers", counts.known - 1)
         self._metrics.set_state("silent_peers", counts.silent)
         self._metrics.set_state("waiting_streams", self.slots.waiting)
+        self._metrics.set_state("quarantined_prompts", self.quarantine.count)
 
     def _record_refusal(self, error: RefusedError, age_s: float) -> None:
         refusal = error.refusal
--- a/wasabimux/relay/slots.py
+++ b/wasabimux/relay/slots.py
@@ -19,7 +19,7 @@
 )
 from wasabimux.decisions.memory_forecast import StreamState
 from wasabimux.decisions.stream_estimates import StreamEstimates
-from wasabimux.errors import ErrorCode
+from wasabimux.errors import ErrorCode, RefusedError
 from wasabimux.ids import UpstreamId
 from wasabimux.ports import UpstreamLost
 from wasabimux.relay.context import RelayRequest
@@ -194,7 +194,8 @@
             async with asyncio.timeout_at(until_s):
                 slot = await granted
         except BaseException as error:
-            if granted.done() and not granted.cancelled():
+            is_granted = granted.done() and not granted.cancelled()
+            if is_granted and granted.exception() is None:
                 self.release(granted.result(), loop_time())  # granted too late
             if isinstance(error, TimeoutError):
                 self._timeline.record(
@@ -213,6 +214,19 @@
             granted.cancel()
         return slot
 
+    def refuse_where(
+        self, refusal_of: Callable[[RelayRequest], RefusedError | None]
+    ) -> None:
+        """Refuses waiting streams.
+
+        Args:
+            refusal_of: Returns the error that refuses a request, None to let it wait.
+        """
+        for item in self._waiting.values():
+            refusal = None if item.granted.done() else refusal_of(item.request)
+            if refusal is not None:
+                item.granted.set_exception(refusal)
+
     def release(self, slot: DecodeSlot, now: float) -> None:
         """Releases a slot, and its reservation if no request was sent with it."""
         self._remove_stream(slot.upstream, slot.stream)
--- a/wasabimux/relay/upstreams.py
+++ b/wasabimux/relay/upstreams.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import Enum
 
 from wasabimux._clock import loop_time
 from wasabimux.adapters.http_client import ClientConnection, ClientResponse
@@ -40,6 +41,20 @@
 CALL_TIMEOUT_S = 1.0
 
 
+class ListenerState(Enum):
+    """Whether a process listens at an address.
+
+    Attributes:
+        LISTENING: It accepts connections.
+        REFUSING: Its host refuses connections, as no process listens.
+        UNKNOWN: The host does not reply, or cannot be reached.
+    """
+
+    LISTENING = "listening"
+    REFUSING = "refusing"
+    UNKNOWN = "unknown"
+
+
 @dataclass(slots=True, eq=False)
 class RunningStream:
     """A stream of this relay that occupies a decode slot.
@@ -192,6 +207,19 @@
                 "no response before the call timeout", sent=True
             ) from error
 
+    async def probe(self) -> ListenerState:
+        """Returns whether a process listens at the upstream's address."""
+        try:
+            connection = await ClientConnection.connect(
+                self._host, self._port, CONNECT_TIMEOUT_S
+            )
+        except UpstreamLost as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                return ListenerState.REFUSING
+            return ListenerState.UNKNOWN
+        connection.close()
+        return ListenerState.LISTENING
+
     def release(self, connection: ClientConnection, complete: bool) -> None:
         """Keeps a connection for reuse if its response is complete, else closes it."""
         if (
