--- a/wasabimux/adapters/relay_metrics.py
+++ b/wasabimux/adapters/relay_metrics.py
@@ -52,7 +52,7 @@
         self._state = Gauge(
             "wasabimux_relay_state",
             "State: peers, silent_peers, waiting_streams, quarantined_prompts, "
-            "log_lines_dropped, loop_lag_seconds.",
+            "limited_upstreams, log_lines_dropped, loop_lag_seconds.",
             registry=registry,
         )
 
--- a/wasabimux/platform/headers.py
+++ b/wasabimux/platform/headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from wasabimux.headers import end_to_end_headers
 from wasabimux.ids import PromptPartId, RequestId
 from wasabimux.ports import Headers
@@ -26,6 +28,8 @@
 NOT_EXECUTED = b"wasabimux-not-executed"
 #: Load of the upstream, sent to the relay and not forwarded to clients.
 SERVER_LOAD = b"wasabimux-server-load"
+#: Requests per s that the upstream takes from all relays together, a decimal number.
+SERVER_LIMIT = b"server-limit"
 STAGE = b"wasabimux-stage"
 KV_SOURCE = b"wasabimux-kv-source"
 KV_HOLD = b"wasabimux-kv-hold"
@@ -52,6 +56,8 @@
 
 BEARER = b"bearer "
 
+RATE_PATTERN = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+
 
 class PlatformHeaderCodec:
     """Encodes and decodes the platform's headers; implements `HeaderCodec`."""
@@ -104,6 +110,7 @@
             None if request_id is None else request_id.decode("latin-1"),
             SIGNATURE in by_name,
             NOT_EXECUTED in by_name,
+            _rate(by_name.get(SERVER_LIMIT)),
         )
 
     def response_headers(self, headers: Headers) -> Headers:
@@ -133,6 +140,13 @@
     return tuple(PromptPartId(part) for part in ids[:-1] if part)
 
 
+def _rate(value: bytes | None) -> float | None:
+    """Returns a rate in requests per s, None if it is missing or is no such number."""
+    if value is None or not RATE_PATTERN.fullmatch(value.strip()):
+        return None
+    return float(value)
+
+
 def _integers(value: bytes | None) -> list[int]:
     parts = [] if value is None else value.split(b",")
     if not all(part.strip().isdigit() for part in parts):
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -321,6 +321,8 @@
         """
         engine = slot.upstream
         metadata = self._header_codec.read_response(response.headers)
+        self._recorder.record_rate_limit(request, engine, metadata.rate_limit_per_s)
+        engine.rate_limit_per_s = metadata.rate_limit_per_s
         if metadata.not_executed or response.status == STATUS_MISDIRECTED:
             request.ran = previous_ran
             slot.request_sent = False
--- a/wasabimux/relay/plain.py
+++ b/wasabimux/relay/plain.py
@@ -262,6 +262,8 @@
             RefusedError: The response is unsigned or belongs to another request.
         """
         upstream, metadata = response.upstream, response.metadata
+        self._recorder.record_rate_limit(request, upstream, metadata.rate_limit_per_s)
+        upstream.rate_limit_per_s = metadata.rate_limit_per_s
         if response.status == STATUS_MISDIRECTED:
             upstream.misdirected = True
             self._recorder.record(request, "misdirected", upstream)
--- a/wasabimux/relay/prefill.py
+++ b/wasabimux/relay/prefill.py
@@ -134,6 +134,9 @@
             response = await engine.send(
                 request.method, request.target, headers, request.body
             )
+            limit = self._header_codec.read_response(response.headers).rate_limit_per_s
+            self._recorder.record_rate_limit(request, engine, limit)
+            engine.rate_limit_per_s = limit
             async with response:
                 return response.status, await response.body()
 
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -469,6 +469,8 @@
         self._metrics.set_state("silent_peers", counts.silent)
         self._metrics.set_state("waiting_streams", self.slots.waiting)
         self._metrics.set_state("quarantined_prompts", self.quarantine.count)
+        limits = [item.rate_limit_per_s for item in self.pool.by_id.values()]
+        self._metrics.set_state("limited_upstreams", len(limits) - limits.count(None))
 
     def _record_refusal(self, error: RefusedError, age_s: float) -> None:
         refusal = error.refusal
--- a/wasabimux/relay/upstreams.py
+++ b/wasabimux/relay/upstreams.py
@@ -96,6 +96,8 @@
         full_until_s: Time until which this relay requests no slot, after a refusal.
         phase_change_until_s: Time until which this relay's phase change of the engine
             may take.
+        rate_limit_per_s: Requests per s that the upstream takes from all relays
+            together, as of its last response; None if it names no limit.
     """
 
     def __init__(self, record: UpstreamRecord, now: float) -> None:
@@ -109,6 +111,7 @@
         self.next_cold_send_s: float | None = None
         self.full_until_s = 0.0
         self.phase_change_until_s = 0.0
+        self.rate_limit_per_s: float | None = None
         self._idle: deque[tuple[float, ClientConnection]] = deque()
         self._host, self._port = parse_address(record.address)
 
