--- a/wasabimux/platform/standins/runner.py
+++ b/wasabimux/platform/standins/runner.py
@@ -63,6 +63,8 @@
             KV cache.
         crashing_part: Part of a prompt on which the runner crashes as it begins to
             decode; empty for none.
+        rate_limit_per_s: Requests per s that the runner says it takes from all relays
+            together; None to name no limit.
     """
 
     refuse_requests: bool = False
@@ -74,6 +76,7 @@
     refuse_reservations: bool = False
     fail_kv_cache_copies: bool = False
     crashing_part: str = ""
+    rate_limit_per_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -261,6 +264,9 @@
             (header_names.REQUEST_ID, response_id),
             (header_names.SIGNATURE, f"sig-{self.id}".encode()),
         ]
+        if self.faults.rate_limit_per_s is not None:
+            limit = str(self.faults.rate_limit_per_s).encode()
+            response_headers.append((header_names.SERVER_LIMIT, limit))
         if self.phase is not None:
             last_event_id = int(headers.get(header_names.LAST_EVENT_ID, b"0"))
             response_headers.append((b"content-type", b"text/event-stream"))
