Keep to the rate that an upstream names, all relays together

Cause: nothing read the rate; calls were spread by load and latency as before.

Change: the turns that relays take at cold upstreams become code of their own and serve both. Each relay takes an equal part of the rate at intervals, from a random time on. A call without a turn anywhere waits for one, up to half of its target time, else it is refused at once with the time until the next turn. A slot of an engine is two requests.

Why it works: what relays send together is the sum of equal parts, so each needs to know only how many they are, which the aggregators tell within 2 s.

--- a/tests/test_cold_upstreams.py
+++ b/tests/test_cold_upstreams.py
@@ -3,22 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import random
-from typing import Any
 
 import pytest
 
+from tests.selector_fixtures import relay_selector, upstream_record
 from wasabimux._clock import loop_time
-from wasabimux.decisions.aggregation import RelayCounts
-from wasabimux.decisions.usage_sums import NO_USAGE
-from wasabimux.ids import FailureDomainId, UpstreamId
-from wasabimux.platform.documents import PlatformDocumentDecoder
-from wasabimux.relay.model import ServiceProfile, UpstreamRecord
+from wasabimux.ids import UpstreamId
+from wasabimux.relay.model import ServiceProfile
 from wasabimux.relay.placing import UpstreamSelector
-from wasabimux.relay.upstreams import UpstreamPool
-from wasabimux.relay.view import FleetView
 from wasabimux.standins.virtual_fleet import run_in_virtual_time
-from wasabimux.timeline import Timeline
 
 COLD_PER_S = 5.2
 COLD_S = 10.0
@@ -30,38 +23,10 @@
 SERVICE = ServiceProfile("desk", 100, COLD_S, COLD_PER_S, None)
 
 
-class StubMesh:
-    """A mesh that knows the number of relays only."""
-
-    def __init__(self, relays: int) -> None:
-        self.others = NO_USAGE
-        self._counts = RelayCounts(relays, 0)
-
-    def relay_counts(self) -> RelayCounts:
-        """Returns the numbers of relays."""
-        return self._counts
-
-
-def upstream_record(name: str, cold_s: float) -> UpstreamRecord:
-    """Returns the entry of an upstream."""
-    zone = FailureDomainId("zone-a")
-    return UpstreamRecord(
-        UpstreamId(name), "desk", "10.9.0.1:80", zone, 6, False, cold_s, None, 1
-    )
-
-
 def selector(relays: int, number: int, cold_s: float) -> UpstreamSelector:
     """Returns the selector of one relay, with a cold and a warm upstream."""
-    timeline = Timeline(f"relay-{number}")
-    view = FleetView(PlatformDocumentDecoder(), timeline, lambda now: None)
-    pool = UpstreamPool()
-    records = [upstream_record("cold", cold_s), upstream_record("warm", 0.0)]
-    pool.apply(records, loop_time())
-    rng = random.Random(number)
-    found = UpstreamSelector(view, pool, FailureDomainId("zone-a"), rng)
-    mesh: Any = StubMesh(relays)
-    found.mesh = mesh
-    return found
+    records = [upstream_record("cold", cold_s), upstream_record("warm")]
+    return relay_selector(relays, number, *records)
 
 
 @pytest.mark.parametrize("relays", [1, 5, 27, 68, 150])
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -321,8 +321,10 @@
         """
         engine = slot.upstream
         metadata = self._header_codec.read_response(response.headers)
-        self._recorder.record_rate_limit(request, engine, metadata.rate_limit_per_s)
-        engine.rate_limit_per_s = metadata.rate_limit_per_s
+        authentic = metadata.signed and metadata.id == request.metadata.id
+        if authentic or metadata.not_executed:
+            if engine.on_response(metadata):
+                self._recorder.record_rate_limit(request, engine)
         if metadata.not_executed or response.status == STATUS_MISDIRECTED:
             request.ran = previous_ran
             slot.request_sent = False
@@ -336,7 +338,6 @@
                 "the engine did not run the request",
                 RETRY_AFTER_S,
             )
-        authentic = metadata.signed and metadata.id == request.metadata.id
         if not authentic or response.status != STATUS_OK:
             engine.health.on_failure(loop_time())
             self._recorder.record(
--- a/wasabimux/relay/placing.py
+++ b/wasabimux/relay/placing.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from typing import NamedTuple
 
 from wasabimux._clock import loop_time
 from wasabimux.decisions.decode_queue import EngineCapacity
@@ -13,6 +14,7 @@
 from wasabimux.ids import FailureDomainId, UpstreamId
 from wasabimux.relay.mesh import Mesh
 from wasabimux.relay.model import Phase, ServiceProfile
+from wasabimux.relay.pacing import UpstreamPacer
 from wasabimux.relay.upstreams import Upstream, UpstreamPool
 from wasabimux.relay.view import FleetView
 
@@ -20,8 +22,12 @@
 #: A single peer may have lost its own connectivity.
 MIN_PEERS_BACKING_OFF = 2
 
-#: Fraction of a cold upstream's rate limit that all relays together use.
-COLD_RATE_FRACTION = 0.8
+
+class UpstreamTurn(NamedTuple):
+    """A time in s from which this relay may send a request to an upstream."""
+
+    upstream: Upstream
+    at_s: float
 
 
 class UpstreamSelector:
@@ -49,6 +55,7 @@
         self._pool = pool
         self._failure_domain = failure_domain
         self._rng = rng
+        self._pacer = UpstreamPacer(self._relay_count, rng)
 
     def accepts_requests(self, upstream: Upstream) -> bool:
         """Returns True if an upstream may receive new requests at all."""
@@ -186,27 +193,55 @@
         return self.mesh.others if self.mesh else NO_USAGE
 
     def may_send(self, upstream: Upstream, service: ServiceProfile) -> bool:
-        """Returns whether the rate limit of a cold upstream allows a request now.
+        """Returns whether an upstream that bears few requests may get one now."""
+        now = loop_time()
+        return self._pacer.next_turn_s(upstream, service, now) <= now
+
+    def on_send(
+        self, upstream: Upstream, service: ServiceProfile, requests: int = 1
+    ) -> None:
+        """Counts requests to an upstream, or a slot reserved for them."""
+        self._pacer.take_turn(upstream, service, loop_time(), requests)
+
+    def claim_turn(
+        self,
+        service: ServiceProfile,
+        now: float,
+        latest_s: float,
+        avoid: list[UpstreamId],
+    ) -> UpstreamTurn | None:
+        """Claims the next turn at an upstream of a plain service.
 
-        Each relay has an equal part of the rate. A part below one request a second is
-        used at intervals, which start at a random time at each relay.
+        Args:
+            service: The service.
+            now: Current time in s.
+            latest_s: Latest time in s at which the turn is of use.
+            avoid: Upstreams to exclude.
+
+        Returns:
+            The turn, None if there is none in time.
         """
-        now = loop_time()
-        if service.cold_per_s <= 0 or now >= upstream.cold_until_s:
-            return True
-        if upstream.next_cold_send_s is None:
-            first_s = self._rng.uniform(0.0, self._cold_interval_s(service))
-            upstream.next_cold_send_s = now + first_s
-        return now >= upstream.next_cold_send_s
-
-    def on_send(self, upstream: Upstream, service: ServiceProfile) -> None:
-        """Counts a request to an upstream, or a slot reserved for one."""
-        now = loop_time()
-        if service.cold_per_s > 0 and now < upstream.cold_until_s:
-            planned_s = max(now, upstream.next_cold_send_s or now)
-            upstream.next_cold_send_s = planned_s + self._cold_interval_s(service)
-
-    def _cold_interval_s(self, service: ServiceProfile) -> float:
-        """Returns the time in s between this relay's requests to a cold upstream."""
-        relay_count = self.mesh.relay_counts().known if self.mesh else 1
-        return relay_count / (COLD_RATE_FRACTION * service.cold_per_s)
+        turn = self._next_turn(service, now, avoid)
+        if turn is None or turn.at_s > latest_s:
+            return None
+        at_s = self._pacer.take_turn(turn.upstream, service, now)
+        return UpstreamTurn(turn.upstream, at_s)
+
+    def turn_wait_s(
+        self, service: ServiceProfile, now: float, avoid: list[UpstreamId]
+    ) -> float | None:
+        """Returns the time in s until the next turn, None without any upstream."""
+        turn = self._next_turn(service, now, avoid)
+        return None if turn is None else max(0.0, turn.at_s - now)
+
+    def _next_turn(
+        self, service: ServiceProfile, now: float, avoid: list[UpstreamId]
+    ) -> UpstreamTurn | None:
+        turns = [
+            UpstreamTurn(item, self._pacer.next_turn_s(item, service, now))
+            for item in self.usable(service.name, now, avoid)
+        ]
+        return min(turns, key=lambda turn: turn.at_s, default=None)
+
+    def _relay_count(self) -> int:
+        return self.mesh.relay_counts().known if self.mesh else 1
--- a/wasabimux/relay/plain.py
+++ b/wasabimux/relay/plain.py
@@ -30,8 +30,13 @@
 MIN_HEDGE_DELAY_S = 0.12
 MAX_HEDGE_DELAY_FRACTION = 0.6
 
-#: Delay before clients may retry when no upstream can take the request.
+#: Bounds of the Retry-After when no upstream can take the request.
 RETRY_AFTER_S = 0.2
+MAX_RETRY_AFTER_S = 3.0
+
+#: Longest wait for a turn at an upstream that bears few requests, as a fraction of the
+#: target latency.
+MAX_TURN_WAIT_FRACTION = 0.5
 
 #: Most `answered` events recorded per second; further ones are only counted.
 MAX_ANSWERED_EVENTS_PER_S = 10.0
@@ -171,7 +176,7 @@
             RefusedError: No valid response; `ran` tells whether the call ran.
         """
         for _ in range(MAX_UNDELIVERED_SENDS):
-            upstream = self._choose_upstream(request)
+            upstream = await self._choose_upstream(request)
             request.tried_upstreams.append(upstream.id)
             response = await self._send(request, upstream)
             if response is None:
@@ -189,19 +194,41 @@
             ErrorCode.NO_UPSTREAM, "no upstream could be reached", RETRY_AFTER_S
         )
 
-    def _choose_upstream(self, request: RelayRequest) -> Upstream:
+    async def _choose_upstream(self, request: RelayRequest) -> Upstream:
+        """Returns an upstream that may get the call now.
+
+        Where all upstreams bear few requests, the call waits for a turn of this relay.
+
+        Raises:
+            RefusedError: No upstream takes the call, or none in time.
+        """
         now = loop_time()
-        upstream = self._selector.choose_plain(
+        service, tried = request.service, request.tried_upstreams
+        upstream = self._selector.choose_plain(service, now, tried)
+        if upstream is not None:
+            self._selector.on_send(upstream, service)
+            return upstream
+        max_wait_s = MAX_TURN_WAIT_FRACTION * request.route.target_latency_s
+        latest_s = min(now + max_wait_s, request.deadline_s)
+        turn = self._selector.claim_turn(service, now, latest_s, tried)
+        if turn is None:
+            raise self._no_upstream_error(request, now)
+        await asyncio.sleep(turn.at_s - now)
+        if not self._selector.accepts_requests(turn.upstream):
+            raise self._no_upstream_error(request, loop_time())
+        return turn.upstream
+
+    def _no_upstream_error(self, request: RelayRequest, now: float) -> RefusedError:
+        """Returns the refusal of a call; it tells when the next turn comes."""
+        wait_s = self._selector.turn_wait_s(
             request.service, now, request.tried_upstreams
         )
-        if upstream is None:
-            raise request.refusal_error(
-                ErrorCode.NO_UPSTREAM,
-                "no upstream can take the request now",
-                RETRY_AFTER_S,
-            )
-        self._selector.on_send(upstream, request.service)
-        return upstream
+        retry_after_s = max(RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, wait_s or 0.0))
+        return request.refusal_error(
+            ErrorCode.NO_UPSTREAM,
+            "no upstream can take the request now",
+            retry_after_s,
+        )
 
     async def _send(
         self, request: RelayRequest, upstream: Upstream
@@ -262,13 +289,12 @@
             RefusedError: The response is unsigned or belongs to another request.
         """
         upstream, metadata = response.upstream, response.metadata
-        self._recorder.record_rate_limit(request, upstream, metadata.rate_limit_per_s)
-        upstream.rate_limit_per_s = metadata.rate_limit_per_s
         if response.status == STATUS_MISDIRECTED:
             upstream.misdirected = True
             self._recorder.record(request, "misdirected", upstream)
             return None
         if metadata.not_executed:
+            self._on_response(request, upstream, metadata)
             upstream.health.on_failure(now)
             return response
         if metadata.id != request.metadata.id or not metadata.signed:
@@ -281,6 +307,7 @@
                 "the upstream's response is unsigned or belongs to another request",
             )
         request.ran = Ran.YES
+        self._on_response(request, upstream, metadata)
         if response.status >= STATUS_SERVER_ERROR:
             upstream.health.on_failure(now)
             self._recorder.record(
@@ -292,6 +319,13 @@
             self._record_answered(request, upstream, latency_s, now)
         return response
 
+    def _on_response(
+        self, request: RelayRequest, upstream: Upstream, metadata: ResponseMetadata
+    ) -> None:
+        """Takes over what a valid response says of its upstream."""
+        if upstream.on_response(metadata):
+            self._recorder.record_rate_limit(request, upstream)
+
     def _record_answered(
         self, request: RelayRequest, upstream: Upstream, latency_s: float, now: float
     ) -> None:
--- a/wasabimux/relay/prefill.py
+++ b/wasabimux/relay/prefill.py
@@ -134,9 +134,8 @@
             response = await engine.send(
                 request.method, request.target, headers, request.body
             )
-            limit = self._header_codec.read_response(response.headers).rate_limit_per_s
-            self._recorder.record_rate_limit(request, engine, limit)
-            engine.rate_limit_per_s = limit
+            if engine.on_response(self._header_codec.read_response(response.headers)):
+                self._recorder.record_rate_limit(request, engine)
             async with response:
                 return response.status, await response.body()
 
--- a/wasabimux/relay/records.py
+++ b/wasabimux/relay/records.py
@@ -18,19 +18,11 @@
     def __init__(self, timeline: Timeline) -> None:
         self._timeline = timeline
 
-    def record_rate_limit(
-        self, request: RelayRequest, upstream: Upstream, rate_per_s: float | None
-    ) -> None:
-        """Records that an upstream has named a rate limit, or names none any more.
-
-        Args:
-            request: Request that the upstream has responded to.
-            upstream: The upstream, with the limit of the response before.
-            rate_per_s: Limit in the response, in requests per s; None without one.
-        """
-        if rate_per_s != upstream.rate_limit_per_s:
-            text = "none" if rate_per_s is None else rate_per_s
-            self.record(request, "rate_limit_named", upstream, rate_per_s=text)
+    def record_rate_limit(self, request: RelayRequest, upstream: Upstream) -> None:
+        """Records that an upstream has named a rate limit, or names none any more."""
+        limit = upstream.rate_limit_per_s
+        text = "none" if limit is None else limit
+        self.record(request, "rate_limit_named", upstream, rate_per_s=text)
 
     def record(
         self,
--- a/wasabimux/relay/slots.py
+++ b/wasabimux/relay/slots.py
@@ -39,6 +39,9 @@
 #: Interval between checks of the queue while streams wait and nothing wakes the task.
 QUEUE_CHECK_INTERVAL_S = 0.05
 
+#: Requests that an engine gets for a slot: the reservation and the stream.
+REQUESTS_PER_SLOT = 2
+
 #: Number of events for which a reservation includes memory in addition to the prompt.
 RESERVED_EVENTS = 4
 
@@ -292,7 +295,7 @@
             if engine is None:
                 continue
             expected = self._expected_stream(item.request)
-            self._selector.on_send(engine, item.request.service)
+            self._selector.on_send(engine, item.request.service, REQUESTS_PER_SLOT)
             engine.running += 1
             engine.streams.add(expected)
             task = asyncio.ensure_future(self._reserve(item, engine, expected))
--- a/wasabimux/relay/upstreams.py
+++ b/wasabimux/relay/upstreams.py
@@ -17,10 +17,11 @@
     forecast,
     sum_forecasts,
 )
+from wasabimux.decisions.shared_pace import SharedPace
 from wasabimux.decisions.upstream_health import UpstreamHealth
 from wasabimux.ids import UpstreamId
 from wasabimux.ports import Headers, UpstreamLost
-from wasabimux.relay.model import Phase, UpstreamRecord
+from wasabimux.relay.model import Phase, ResponseMetadata, UpstreamRecord
 from wasabimux.relay.ports import EngineCall
 from wasabimux.settings.address import parse_address
 
@@ -91,8 +92,8 @@
         streams: Streams of this relay that occupy a decode slot.
         misdirected: True once the upstream responded that a request was misdirected.
         cold_until_s: Time until which the upstream is cold.
-        next_cold_send_s: Time of the next send allowed while it is cold, None before
-            the first one was planned.
+        pace: Turns of this relay while the upstream bears few requests; None while it
+            bears any.
         full_until_s: Time until which this relay requests no slot, after a refusal.
         phase_change_until_s: Time until which this relay's phase change of the engine
             may take.
@@ -108,7 +109,7 @@
         self.streams: set[RunningStream] = set()
         self.misdirected = False
         self.cold_until_s = now + record.cold_s
-        self.next_cold_send_s: float | None = None
+        self.pace: SharedPace | None = None
         self.full_until_s = 0.0
         self.phase_change_until_s = 0.0
         self.rate_limit_per_s: float | None = None
@@ -135,7 +136,7 @@
         """Replaces the upstream's entry by a newer one."""
         if record.cold_s > 0 and record.cold_s != self.record.cold_s:
             self.cold_until_s = now + record.cold_s
-            self.next_cold_send_s = None
+            self.pace = None
         if record.phase is not self.record.phase:
             self.phase_change_until_s = 0.0
         if record.address != self.record.address:
@@ -143,6 +144,16 @@
             self._host, self._port = parse_address(record.address)
         self.record = record
 
+    def on_response(self, metadata: ResponseMetadata) -> bool:
+        """Takes over the rate limit of a valid response.
+
+        Returns:
+            True if the limit has changed.
+        """
+        before = self.rate_limit_per_s
+        self.rate_limit_per_s = metadata.rate_limit_per_s
+        return self.rate_limit_per_s != before
+
     def on_not_executed(self, status: int, now: float) -> None:
         """Records that the upstream did not execute a request.
 
