Take a stream that ends without an event for broken

A stream may have neither a length nor chunks and end with its connection. The stream now goes on at another engine, unless it was resumed after what may have been its last event.

--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -60,6 +60,7 @@
         ended: True once the engine has ended the stream without an error.
         events: Number of events with a field that the engine has sent.
         has_begun: True once the engine has shown that it bears the prompt.
+        is_resumed: True if it goes on after an event, which may have been the last.
     """
 
     response: ClientResponse
@@ -71,6 +72,7 @@
     ended: bool = False
     events: int = 0
     has_begun: bool = False
+    is_resumed: bool = False
 
 
 @dataclass(slots=True)
@@ -294,7 +296,7 @@
             ) from error
         try:
             return await self._await_first_event(
-                request, slot, response, previous_ran, prefilled_kv
+                request, slot, response, previous_ran, prefilled_kv, after is not None
             )
         except BaseException:
             response.close()
@@ -307,6 +309,7 @@
         response: ClientResponse,
         previous_ran: Ran,
         prefilled_kv: PrefilledKv | None,
+        is_resumed: bool,
     ) -> _EngineStream:
         """Checks the head of a response and waits for the stream's first event.
 
@@ -318,6 +321,7 @@
                 restored if the engine did not run it.
             prefilled_kv: KV cache offered to the engine; restored if the engine did
                 not run the request.
+            is_resumed: True if the stream goes on after an event.
         """
         engine = slot.upstream
         metadata = self._header_codec.read_response(response.headers)
@@ -348,7 +352,7 @@
                 "the engine returned an error or an invalid response",
             )
         request.ran = Ran.YES
-        stream = _EngineStream(response, response.pieces(), slot)
+        stream = _EngineStream(response, response.pieces(), slot, is_resumed=is_resumed)
         try:
             await self._await_unless_stalled(request, self._read_events(stream))
         except UpstreamLost as error:
@@ -414,6 +418,8 @@
             if chunk is None:
                 if stream.splitter.has_partial_event:
                     raise UpstreamLost("the stream ended within an event", sent=True)
+                if not stream.events and not stream.is_resumed:
+                    raise UpstreamLost("the stream ended without an event", sent=True)
                 stream.ended = True
             else:
                 stream.pending = stream.splitter.feed(chunk)
