Tell a call that one of two attempts may have run from one that has not run

A safe call that is hedged has two attempts at once, which kept one note of whether the call ran. When one of them was lost and the other refused as not run, the refusal reset the note: the caller got 503 and ran=no although the lost attempt may have run (test: 503 before, 502 and ran=unknown now). Each send is now counted until its upstream says that it has not run it.

--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -18,7 +18,7 @@
 from wasabimux.decisions.memory_forecast import ZERO_FORECAST
 from wasabimux.decisions.phase_plan import PhaseChange
 from wasabimux.decisions.placement import rendezvous_top
-from wasabimux.ids import StoreRevision
+from wasabimux.ids import StoreRevision, UpstreamId
 from wasabimux.link.link import Link
 from wasabimux.platform.documents import PlatformDocumentDecoder
 from wasabimux.platform.store import PlatformStoreClient
@@ -719,6 +719,24 @@
         assert await response.body() == expected_stream()
 
 
+async def test_call_that_one_of_two_attempts_may_have_run_is_not_refused_as_not_run(
+    cluster: RelayCluster,
+) -> None:
+    """Guards against one attempt's refusal hiding that the other one was lost."""
+    refusing, losing = cluster.runners["desk-1"], cluster.runners["desk-2"]
+    refusing.faults.refuse_requests = True
+    refusing.faults.delay_s = 0.4
+    losing.faults.cut_after_events = 0
+    for name in ("desk-1", "desk-2"):
+        upstream = cluster.relays[0].relay.pool.by_id[UpstreamId(name)]
+        upstream.running = 0 if name == "desk-1" else 3
+    async with await cluster.request("/safe/1") as response:
+        body = await response.body()
+    assert losing.runs
+    assert response.status == 502
+    assert b'"ran": "unknown"' in body
+
+
 async def test_malformed_store_entries_are_ignored(cluster: RelayCluster) -> None:
     """Entries may lack fields, have another type or be null."""
     relay = cluster.relays[0].relay
--- a/wasabimux/platform/standins/runner.py
+++ b/wasabimux/platform/standins/runner.py
@@ -202,6 +202,7 @@
         if expected != self.id:
             return json_response(421, {})
         if self.faults.refuse_requests:
+            await asyncio.sleep(self.faults.delay_s)
             response = json_response(503, {})
             response.headers.append((header_names.NOT_EXECUTED, b"1"))
             return response
--- a/wasabimux/relay/context.py
+++ b/wasabimux/relay/context.py
@@ -66,7 +66,9 @@
         beyond_share: True if the workspace has used up its rate limit and the
             request was admitted only within the limit's tolerance.
         tried_upstreams: Upstreams that the request was sent to.
-        ran: Whether the request ran on an upstream, as far as is known.
+        unsettled_sends: Sends to upstreams of which it is not known whether they ran,
+            those under way included.
+        has_run: True once an upstream has responded that it ran the request.
         prefilled_kv: KV cache of the prompt, None if there is none to fetch.
         prefill_sent: True once a prefill was sent for the request; only the first
             one is not charged to the retry budget.
@@ -89,7 +91,8 @@
     reserved_cost: float = 0.0
     beyond_share: bool = False
     tried_upstreams: list[UpstreamId] = field(default_factory=list)
-    ran: Ran = Ran.NO
+    unsettled_sends: int = 0
+    has_run: bool = False
     prefilled_kv: PrefilledKv | None = None
     prefill_sent: bool = False
     retry_charged: bool = False
@@ -109,6 +112,21 @@
             and time_left_s < CLIENT_RETRY_TIMEOUT_FRACTION * self.route.timeout_s
         )
 
+    @property
+    def ran(self) -> Ran:
+        """Whether the request ran on an upstream, as far as is known."""
+        if self.has_run:
+            return Ran.YES
+        return Ran.UNKNOWN if self.unsettled_sends else Ran.NO
+
+    def on_send(self) -> None:
+        """Records that the request is sent to an upstream."""
+        self.unsettled_sends += 1
+
+    def on_not_run(self) -> None:
+        """Records that an upstream to which it was sent has not run it."""
+        self.unsettled_sends -= 1
+
     def remaining_s(self, now: float) -> float:
         """Returns the time in s until the deadline."""
         return self.deadline_s - now
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -277,7 +277,7 @@
         """Sends the request to the slot's engine and waits for the first event."""
         engine = slot.upstream
         prefilled_kv, request.prefilled_kv = request.prefilled_kv, None
-        previous_ran, request.ran = request.ran, Ran.UNKNOWN
+        request.on_send()
         try:
             options = request.send_options(engine.id, loop_time())._replace(
                 kv_source=kv_source,
@@ -289,14 +289,14 @@
             response = await self._await_unless_stalled(request, sending)
         except UpstreamLost as error:
             if not error.sent:
-                request.ran = previous_ran
+                request.on_not_run()
             self._on_start_lost(request, engine, error)
             raise request.refusal_error(
                 ErrorCode.UPSTREAM_LOST, "the engine did not respond", RETRY_AFTER_S
             ) from error
         try:
             return await self._await_first_event(
-                request, slot, response, previous_ran, prefilled_kv, after is not None
+                request, slot, response, prefilled_kv, after is not None
             )
         except BaseException:
             response.close()
@@ -307,7 +307,6 @@
         request: RelayRequest,
         slot: DecodeSlot,
         response: ClientResponse,
-        previous_ran: Ran,
         prefilled_kv: PrefilledKv | None,
         is_resumed: bool,
     ) -> _EngineStream:
@@ -317,8 +316,6 @@
             request: Request that was sent.
             slot: Slot at the engine.
             response: Response of the engine.
-            previous_ran: What was known of the request's run before it was sent;
-                restored if the engine did not run it.
             prefilled_kv: KV cache offered to the engine; restored if the engine did
                 not run the request.
             is_resumed: True if the stream goes on after an event.
@@ -330,7 +327,7 @@
             if engine.on_response(metadata):
                 self._recorder.record_rate_limit(request, engine)
         if metadata.not_executed or response.status == STATUS_MISDIRECTED:
-            request.ran = previous_ran
+            request.on_not_run()
             slot.request_sent = False
             request.prefilled_kv = prefilled_kv  # no engine has fetched it
             engine.on_not_executed(response.status, loop_time())
@@ -351,7 +348,7 @@
                 ErrorCode.UPSTREAM_FAILED,
                 "the engine returned an error or an invalid response",
             )
-        request.ran = Ran.YES
+        request.has_run = True
         stream = _EngineStream(response, response.pieces(), slot, is_resumed=is_resumed)
         try:
             await self._await_unless_stalled(request, self._read_events(stream))
--- a/wasabimux/relay/plain.py
+++ b/wasabimux/relay/plain.py
@@ -247,7 +247,7 @@
         options = request.send_options(upstream.id, started_s)
         headers = self._header_codec.request_headers(request.headers, options)
         upstream.running += 1
-        previous_ran, request.ran = request.ran, Ran.UNKNOWN
+        request.on_send()
         try:
             response = await upstream.send(
                 request.method, request.target, headers, request.body
@@ -257,7 +257,7 @@
         except UpstreamLost as error:
             self._on_lost(request, upstream, error)
             if not error.sent:
-                request.ran = previous_ran
+                request.on_not_run()
                 return None
             raise request.refusal_error(
                 ErrorCode.UPSTREAM_LOST, "no complete response from the upstream"
@@ -267,7 +267,7 @@
         now = loop_time()
         metadata = self._header_codec.read_response(response.headers)
         if metadata.not_executed or response.status == STATUS_MISDIRECTED:
-            request.ran = previous_ran
+            request.on_not_run()
         received = UpstreamResponse(
             response.status, response.headers, body, metadata, upstream
         )
@@ -306,7 +306,7 @@
                 ErrorCode.UPSTREAM_FAILED,
                 "the upstream's response is unsigned or belongs to another request",
             )
-        request.ran = Ran.YES
+        request.has_run = True
         self._on_response(request, upstream, metadata)
         if response.status >= STATUS_SERVER_ERROR:
             upstream.health.on_failure(now)
