Keep suspects that have not begun first, and try a quarantined part more rarely

More parts may be about to begin on an engine than a crash remembers; the first by name were kept, so the one that crashes could be left out (test: nothing quarantined before). Parts that have begun are left out first, and 64 are remembered.

A prompt that still crashes engines was tried after 1 min, up to every 10 min; each trial costs an engine and its streams. Now after 2 min, up to every hour, with evidence kept for 4 h.

--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -55,6 +55,16 @@
     return [set(item.parts) for item in ledger.quarantines().get(SERVICE, [])]
 
 
+def test_parts_that_have_begun_do_not_crowd_out_the_one_that_crashes(
+    ledger: CrashLedger,
+) -> None:
+    sound = [f"a{number:03}" for number in range(2 * MAX_SUSPECTS)]
+    ledger.on_begun(SERVICE, [PromptPartId(part) for part in sound], 0.0)
+    for number in range(3):
+        ledger.merge(crash(number, BAD, *sound), 1.0)
+    assert quarantined(ledger) == [{BAD}]
+
+
 def test_a_part_that_several_crashes_share_is_refused(ledger: CrashLedger) -> None:
     for number in range(CRASHES_TO_QUARANTINE):
         assert ledger.quarantine_of(SERVICE, [BAD]) is None
--- a/wasabimux/decisions/crash_attribution.py
+++ b/wasabimux/decisions/crash_attribution.py
@@ -35,16 +35,16 @@
 BEGUN_MEMORY_S = 60.0
 
 #: Time in s for which a crash counts as evidence.
-EVIDENCE_MEMORY_S = 1800.0
+EVIDENCE_MEMORY_S = 14_400.0
 
 #: Time in s without a further crash after which one request may try a quarantined part.
 #: It doubles with each further crash, up to the maximum.
-FIRST_TRIAL_S = 60.0
-MAX_TRIAL_S = 600.0
+FIRST_TRIAL_S = 120.0
+MAX_TRIAL_S = 3600.0
 
 #: Most crashes that are remembered, and parts of each.
 MAX_CRASHES = 64
-MAX_SUSPECTS = 16
+MAX_SUSPECTS = 64
 
 #: Most parts whose latest beginning is remembered.
 MAX_BEGUN_PARTS = 4096
@@ -143,10 +143,13 @@
             self._crash_by_id[evidence.crash] = known
         before = (len(known.suspects), len(known.cleared))
         known.crashed_s = min(known.crashed_s, now - evidence.age_s)
-        room = MAX_SUSPECTS - len(known.suspects)
-        known.suspects.update(sorted(evidence.suspects - known.suspects)[:room])
-        known.cleared |= evidence.cleared & known.suspects
-        known.cleared |= self._recently_begun(known.service, known.suspects, now)
+        begun = self._recently_begun(known.service, evidence.suspects, now)
+        cleared = begun | evidence.cleared
+        added = sorted(
+            evidence.suspects - known.suspects, key=lambda part: (part in cleared, part)
+        )
+        known.suspects.update(added[: MAX_SUSPECTS - len(known.suspects)])
+        known.cleared |= cleared & known.suspects
         if before == (len(known.suspects), len(known.cleared)):
             return None
         self._drop_surplus()
