--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncGenerator, AsyncIterator, Coroutine
-from dataclasses import dataclass, field
+from collections.abc import AsyncGenerator, Coroutine
 from typing import Any, TypeVar
 
 from wasabimux._clock import loop_time
@@ -14,8 +13,8 @@
 from wasabimux.decisions.retry_window import ServiceRetryBudgets
 from wasabimux.errors import ErrorCode, Ran, RefusedError
 from wasabimux.ports import UpstreamLost, UpstreamStalled
-from wasabimux.relay._events import ServerSentEvent, SseSplitter
 from wasabimux.relay.context import PrefilledKv, RelayRequest
+from wasabimux.relay.engine_stream import ActiveStream, EngineStream, StreamProgress
 from wasabimux.relay.moves import MigratedStream, StreamMigrator
 from wasabimux.relay.placing import UpstreamSelector
 from wasabimux.relay.ports import HeaderCodec
@@ -35,10 +34,6 @@
 #: events in this time.
 STALL_TIMEOUT_S = 1.0
 
-#: Events of one engine after which a stream counts as begun: an engine may send one
-#: before it crashes on the prompt.
-EVENTS_TO_BEGIN = 2
-
 #: Delay before clients may retry after a failure other than a missing slot.
 RETRY_AFTER_S = 0.5
 
@@ -46,54 +41,6 @@
 StepResult = TypeVar("StepResult")
 
 
-@dataclass(slots=True)
-class _EngineStream:
-    """A stream that a decode engine is sending.
-
-    Attributes:
-        response: Response of the engine.
-        chunks: Chunks of the response's body.
-        slot: Slot that the stream runs in.
-        pending: Events that were received and not yet passed on.
-        splitter: Splits the body into events.
-        waited_s: Time in s waited for the engine since its last event with a field.
-        ended: True once the engine has ended the stream without an error.
-        events: Number of events with a field that the engine has sent.
-        has_begun: True once the engine has shown that it bears the prompt.
-        is_resumed: True if it goes on after an event, which may have been the last.
-    """
-
-    response: ClientResponse
-    chunks: AsyncIterator[bytes]
-    slot: DecodeSlot
-    pending: list[ServerSentEvent] = field(default_factory=list)
-    splitter: SseSplitter = field(default_factory=SseSplitter)
-    waited_s: float = 0.0
-    ended: bool = False
-    events: int = 0
-    has_begun: bool = False
-    is_resumed: bool = False
-
-
-@dataclass(slots=True)
-class _Progress:
-    """Position of the client in a stream.
-
-    Attributes:
-        last_id: ID of the last event passed on, None before the first.
-        events: Number of events passed on.
-    """
-
-    last_id: int | None
-    events: int = 0
-
-    def on_event(self, event: ServerSentEvent) -> None:
-        """Records an event that is passed on."""
-        self.events += 1
-        if event.id is not None:
-            self.last_id = event.id
-
-
 class GenerationHandler:
     """Serves streaming requests through prefill and decode engines.
 
@@ -140,7 +87,7 @@
         async with request.deadline_scope():
             stream = await self._open_stream(request, request.metadata.last_event_id)
         headers = self._header_codec.response_headers(stream.response.headers)
-        active = _ActiveStream(stream, self._slot_scheduler)
+        active = ActiveStream(stream, self._slot_scheduler)
 
         def on_done(complete: bool) -> None:
             if not complete:
@@ -156,7 +103,7 @@
 
     async def _open_stream(
         self, request: RelayRequest, after: int | None
-    ) -> _EngineStream:
+    ) -> EngineStream:
         """Opens the stream at an engine; retries within the retry budget.
 
         Args:
@@ -193,7 +140,7 @@
         self._recorder.record(request, "retry_budget_spent")
         return False
 
-    async def _attempt(self, request: RelayRequest, after: int | None) -> _EngineStream:
+    async def _attempt(self, request: RelayRequest, after: int | None) -> EngineStream:
         """Reserves a slot, prefills the prompt if needed and starts decoding."""
         self._quarantine.check(request)
         slot = await self._slot_scheduler.acquire(request, request.tried_upstreams)
@@ -238,7 +185,7 @@
         slot: DecodeSlot,
         kv_source: str | None,
         after: int | None,
-    ) -> _EngineStream:
+    ) -> EngineStream:
         """Checks that the slot's engine accepts requests and starts the stream there.
 
         Returns:
@@ -273,7 +220,7 @@
         slot: DecodeSlot,
         kv_source: str | None,
         after: int | None,
-    ) -> _EngineStream:
+    ) -> EngineStream:
         """Sends the request to the slot's engine and waits for the first event."""
         engine = slot.upstream
         prefilled_kv, request.prefilled_kv = request.prefilled_kv, None
@@ -309,7 +256,7 @@
         response: ClientResponse,
         prefilled_kv: PrefilledKv | None,
         is_resumed: bool,
-    ) -> _EngineStream:
+    ) -> EngineStream:
         """Checks the head of a response and waits for the stream's first event.
 
         Args:
@@ -349,9 +296,9 @@
                 "the engine returned an error or an invalid response",
             )
         request.has_run = True
-        stream = _EngineStream(response, response.pieces(), slot, is_resumed=is_resumed)
+        stream = EngineStream(response, response.pieces(), slot, is_resumed=is_resumed)
         try:
-            await self._await_unless_stalled(request, self._read_events(stream))
+            await self._await_unless_stalled(request, stream.read_events())
         except UpstreamLost as error:
             self._on_start_lost(request, engine, error)
             raise request.refusal_error(
@@ -408,24 +355,11 @@
         finally:
             task.cancel()
 
-    async def _read_events(self, stream: _EngineStream) -> None:
-        """Reads until an event is complete or the stream has ended."""
-        while not stream.pending and not stream.ended:
-            chunk = await anext(stream.chunks, None)
-            if chunk is None:
-                if stream.splitter.has_partial_event:
-                    raise UpstreamLost("the stream ended within an event", sent=True)
-                if not stream.events and not stream.is_resumed:
-                    raise UpstreamLost("the stream ended without an event", sent=True)
-                stream.ended = True
-            else:
-                stream.pending = stream.splitter.feed(chunk)
-
     async def _response_body(
-        self, request: RelayRequest, active: _ActiveStream
+        self, request: RelayRequest, active: ActiveStream
     ) -> AsyncGenerator[bytes, None]:
         """Yields the events of a stream across migrations and resumptions."""
-        progress = _Progress(request.metadata.last_event_id)
+        progress = StreamProgress(request.metadata.last_event_id)
         try:
             async with request.deadline_scope():
                 while True:
@@ -462,7 +396,7 @@
             raise
 
     async def _forward_events(
-        self, request: RelayRequest, stream: _EngineStream, progress: _Progress
+        self, request: RelayRequest, stream: EngineStream, progress: StreamProgress
     ) -> AsyncGenerator[bytes, None]:
         """Yields the events that one engine sends.
 
@@ -472,9 +406,7 @@
         while True:
             for event in stream.pending:
                 progress.on_event(event)
-                stream.events += not event.is_empty
-                if stream.events == EVENTS_TO_BEGIN and not stream.has_begun:
-                    stream.has_begun = True
+                if stream.begins_with(event):
                     self._quarantine.on_begun(request)
                 stream.slot.on_events(progress.events)
                 request.response_started = True
@@ -483,7 +415,7 @@
             if stream.ended:
                 return
             started_s = loop_time()
-            reading = self._read_events(stream)
+            reading = stream.read_events()
             await self._await_unless_stalled(request, reading, stream.waited_s)
             if all(event.is_empty for event in stream.pending):
                 stream.waited_s += loop_time() - started_s
@@ -491,7 +423,7 @@
                 stream.waited_s = 0.0
 
     def _on_complete(
-        self, request: RelayRequest, stream: _EngineStream, progress: _Progress
+        self, request: RelayRequest, stream: EngineStream, progress: StreamProgress
     ) -> None:
         stream.slot.completed = True
         self._recorder.record(
@@ -504,8 +436,8 @@
         )
 
     async def _resume_migrated(
-        self, request: RelayRequest, migrated: MigratedStream, progress: _Progress
-    ) -> _EngineStream:
+        self, request: RelayRequest, migrated: MigratedStream, progress: StreamProgress
+    ) -> EngineStream:
         """Resumes a migrated stream in its new slot, or else at another engine."""
         slot = migrated.slot
         try:
@@ -523,7 +455,7 @@
 
     async def _resume_elsewhere(
         self, request: RelayRequest, last_id: int | None
-    ) -> _EngineStream:
+    ) -> EngineStream:
         """Resumes a stream at another engine, after the last event passed on."""
         if not request.route.resumable or not self._may_retry(request):
             raise request.refusal_error(
@@ -534,8 +466,8 @@
     def _on_broken(
         self,
         request: RelayRequest,
-        stream: _EngineStream,
-        progress: _Progress,
+        stream: EngineStream,
+        progress: StreamProgress,
         error: UpstreamLost | None,
     ) -> None:
         engine = stream.slot.upstream
@@ -550,24 +482,3 @@
             error=error,
             parts=request.metadata.parts_text,
         )
-
-
-class _ActiveStream:
-    """The engine stream that a response is being read from.
-
-    Args:
-        stream: Current stream, replaced when it is resumed at another engine.
-        slot_scheduler: Releases the stream's slot.
-    """
-
-    def __init__(self, stream: _EngineStream, slot_scheduler: SlotScheduler) -> None:
-        self.stream = stream
-        self._slot_scheduler = slot_scheduler
-        self._closed_stream: _EngineStream | None = None
-
-    def close_stream(self) -> None:
-        """Closes the connection, which stops generation, and releases the slot."""
-        if self._closed_stream is not self.stream:
-            self._closed_stream = self.stream
-            self.stream.response.close()
-            self._slot_scheduler.release(self.stream.slot, loop_time())
