Play crashing prompts through relays that are killed and paused

Two relays as processes, killed one by one and both at once, one paused: eight requests with the part at most reach engines, and its neighbours are served through both.

--- a/tests/relay_fixtures.py
+++ b/tests/relay_fixtures.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
-from collections.abc import AsyncGenerator, Callable
+from collections.abc import AsyncGenerator, Callable, Sequence
 from typing import Any, NamedTuple
 
 from wasabimux.adapters.http_client import ClientResponse, HttpClient
@@ -87,6 +88,41 @@
             await asyncio.sleep(0.01)
 
 
+@contextlib.asynccontextmanager
+async def restarted_after_crashes(
+    store: StandInStore, runners: Sequence[StandInRunner], delay_s: float
+) -> AsyncGenerator[None, None]:
+    """Starts runners that crash again, each time under a new identity.
+
+    Args:
+        store: Store in which the runners are registered.
+        runners: The runners.
+        delay_s: Time in s between a crash and the next start.
+    """
+    restarts = [
+        asyncio.ensure_future(_restart_after_crashes(store, runner, delay_s))
+        for runner in runners
+    ]
+    try:
+        yield
+    finally:
+        for restart in restarts:
+            restart.cancel()
+
+
+async def _restart_after_crashes(
+    store: StandInStore, runner: StandInRunner, delay_s: float
+) -> None:
+    name = runner.id
+    for number in itertools.count(2):
+        while not runner.crashed:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(delay_s)
+        await store.remove("servers", runner.id)
+        await runner.restart(f"{name}-{number}")
+        await store.put("servers", runner.id, runner.store_entry())
+
+
 async def send_request(
     address: tuple[str, int],
     path: str,
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -9,11 +9,14 @@
 
 import pytest_asyncio
 
-from tests.relay_fixtures import RelayCluster, relay_cluster
+from tests.relay_fixtures import (
+    RelayCluster,
+    relay_cluster,
+    restarted_after_crashes,
+)
 from wasabimux.decisions.crash_attribution import CrashEvidence, CrashId
 from wasabimux.ids import PromptPartId, UpstreamId
 from wasabimux.link.messages import EngineCrashes
-from wasabimux.platform.standins.runner import StandInRunner
 
 CRASHING_PART = "bad0"
 SHARED_PART = "5a5a"
@@ -33,22 +36,8 @@
     engines = [item for item in cluster.runners.values() if item.phase == "decode"]
     for engine in engines:
         engine.faults.crashing_part = CRASHING_PART
-    restarts = [asyncio.ensure_future(_restart(cluster, item)) for item in engines]
-    try:
+    async with restarted_after_crashes(cluster.store, engines, RESTART_DELAY_S):
         yield
-    finally:
-        for restart in restarts:
-            restart.cancel()
-
-
-async def _restart(cluster: RelayCluster, engine: StandInRunner) -> None:
-    name = engine.id
-    for number in itertools.count(2):
-        await cluster.wait_until(lambda: engine.crashed)
-        await asyncio.sleep(RESTART_DELAY_S)
-        await cluster.store.remove("servers", engine.id)
-        await engine.restart(f"{name}-{number}")
-        await cluster.store.put("servers", engine.id, engine.store_entry())
 
 
 @pytest_asyncio.fixture
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -14,7 +14,12 @@
 
 import pytest_asyncio
 
-from tests.relay_fixtures import desired_state, relay_settings, send_request
+from tests.relay_fixtures import (
+    desired_state,
+    relay_settings,
+    restarted_after_crashes,
+    send_request,
+)
 from wasabimux.platform.standins.runner import StandInRunner
 from wasabimux.platform.standins.store import StandInStore
 from wasabimux.ports import UpstreamLost
@@ -129,11 +134,20 @@
         return 0
 
 
-async def stream_status(relay: RelayProcess) -> int:
-    """Returns the status of a stream, 0 if the relay is unreachable."""
+async def stream_status(relay: RelayProcess, *parts: str) -> int:
+    """Returns the status of a stream, 0 if the relay is unreachable.
+
+    Args:
+        relay: The relay.
+        *parts: Parts of the prompt.
+    """
+    headers = TOKEN_HEADERS
+    if parts:
+        prefix = ",".join(f"{part}:50" for part in parts)
+        headers = headers | {"wasabimux_prompt_prefix": prefix}
     try:
         async with await send_request(
-            relay.http_address, "/gen/1", "probe", **TOKEN_HEADERS
+            relay.http_address, "/gen/1", "probe", **headers
         ) as response:
             await response.body()
             return response.status
@@ -209,3 +223,48 @@
         assert await plain_status(cluster.relays[1], "/unsafe/1") == 200
         relay.send_signal(signal.SIGCONT)
         assert await response.body() == complete_stream()
+
+
+async def test_part_that_crashes_engines_is_refused_though_relays_are_killed_and_paused(
+    cluster: ProcessCluster,
+) -> None:
+    """Five crashes may show the part; three requests with it may follow."""
+    first, second = cluster.relays
+    engines = [cluster.runners[name] for name in ("dec-1", "dec-2")]
+    for engine in engines:
+        engine.faults.crashing_part = "bad0"
+
+    async def send_with_part() -> None:
+        for number in range(6):
+            await stream_status(
+                cluster.relays[number % 2], "5a5a", "bad0", f"c{number}"
+            )
+            await asyncio.sleep(0.2)
+
+    async with restarted_after_crashes(cluster.store, engines, 0.3):
+        await send_with_part()
+        await asyncio.sleep(1.0)
+        first.send_signal(signal.SIGKILL)
+        await first.wait()
+        first.start()
+        await wait_until_serving(first)
+        await send_with_part()
+        second.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(1.0)
+        second.send_signal(signal.SIGCONT)
+        await send_with_part()
+        for relay in cluster.relays:
+            relay.send_signal(signal.SIGKILL)
+            await relay.wait()
+            relay.start()
+        for relay in cluster.relays:
+            await wait_until_serving(relay)
+        await send_with_part()
+        for number, relay in enumerate(cluster.relays):
+            assert await stream_status(relay, "5a5a", f"d{number}") == 200
+    sent = [run for engine in engines for run in engine.runs if _has_part(run.headers)]
+    assert len(sent) <= 5 + 3
+
+
+def _has_part(headers: dict[bytes, bytes]) -> bool:
+    return b"bad0" in headers.get(b"wasabimux-prompt-prefix", b"")
