--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -111,3 +111,17 @@
         ]
     assert len(values) == 3
     assert values[0] is values[1] is values[2]
+
+
+def test_objects_lost_with_a_link_are_sent_soon_on_the_next(view: FleetView) -> None:
+    """Regression: the pause of the lost link, up to 5 s, went on with the next one."""
+    forwarder, lost_link, link = ObjectForwarder(view), SlowLink(), SlowLink()
+    for number in range(100):
+        report(forwarder, lost_link, number * REPORT_INTERVAL_S, NO_REVISION)
+        lost_link.queued.clear()
+    for number in range(100, 106):
+        report(forwarder, link, number * REPORT_INTERVAL_S, NO_REVISION)
+    assert {type(message) for message in link.sent} == {
+        ForwardedObjects,
+        DesiredStateOffer,
+    }
--- a/wasabimux/relay/forwarding.py
+++ b/wasabimux/relay/forwarding.py
@@ -39,24 +39,29 @@
         since_s: Loop time in s of the change that the peer was first found to lack, or
             at which the last message with it was seen to have left this process.
         delay_s: Time in s after `since_s` at which objects are forwarded.
-        message: The last message with the objects, None before the first.
+        link: Link on which the last message with the objects was sent.
+        message: That message, None before the first.
     """
 
     since_s: float
     delay_s: float = FORWARD_AFTER_LAG_S
+    link: Link | None = None
     message: Message | None = None
 
     def is_due(self, link: Link, now: float) -> bool:
         """Returns whether objects are to be forwarded now."""
+        if self.link is not None and self.link is not link:
+            self.link, self.message = None, None  # lost with the link
+            self.delay_s = FORWARD_AFTER_LAG_S
         if self.message is not None and link.is_queued(self.message):
             self.since_s = now
         return now - self.since_s >= self.delay_s
 
-    def on_forward(self, message: Message, now: float) -> None:
+    def on_forward(self, link: Link, message: Message, now: float) -> None:
         """Records a message with the objects."""
         if self.message is not None:
             self.delay_s = min(MAX_FORWARD_DELAY_S, 2 * self.delay_s)
-        self.message = message
+        self.link, self.message = link, message
         self.since_s = now
 
 
@@ -116,7 +121,7 @@
                 message = self._objects_since(kind, known_revision)
                 link.send(0, message)
                 receiver.revision_by_kind[kind] = self._view.revision_by_kind[kind]
-                receiver.lag_by_kind[kind] = _Lag(now, message=message)
+                receiver.lag_by_kind[kind] = _Lag(now, link=link, message=message)
 
     def on_peer_revisions(
         self, address: str, link: Link, revisions: Iterable[KindRevision], now: float
@@ -141,7 +146,7 @@
             if lag.is_due(link, now):
                 message = self._objects_since(kind, known_revision)
                 link.send(0, message)
-                lag.on_forward(message, now)
+                lag.on_forward(link, message, now)
 
     def on_peer_desired_version(
         self, address: str, link: Link, version: int, now: float
@@ -166,7 +171,7 @@
         if lag.is_due(link, now):
             offer = self._desired_state_offer(desired.version)
             link.send(0, offer)
-            lag.on_forward(offer, now)
+            lag.on_forward(link, offer, now)
 
     def apply(self, message: ForwardedObjects, now: float) -> None:
         """Applies objects that a peer has forwarded."""
