--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -15,9 +15,9 @@
     MAX_BEGUN_PARTS,
     MAX_CRASHES,
     MAX_SUSPECTS,
+    CrashAttribution,
     CrashEvidence,
     CrashId,
-    CrashLedger,
 )
 from wasabimux.ids import PromptPartId, UpstreamId
 
@@ -38,9 +38,9 @@
 
 
 @pytest.fixture
-def ledger() -> CrashLedger:
-    """A ledger that knows of no crash."""
-    return CrashLedger()
+def crashes() -> CrashAttribution:
+    """An attribution that knows of no crash."""
+    return CrashAttribution()
 
 
 def crash(number: int, *parts: str, age_s: float = 0.0) -> CrashEvidence:
@@ -50,132 +50,142 @@
     return CrashEvidence(crash_id, SERVICE, age_s, suspects)
 
 
-def quarantined(ledger: CrashLedger) -> list[set[str]]:
+def quarantined(crashes: CrashAttribution) -> list[set[str]]:
     """Returns the combinations of parts that are refused."""
-    return [set(item.parts) for item in ledger.quarantines().get(SERVICE, [])]
+    return [set(item.parts) for item in crashes.quarantines().get(SERVICE, [])]
 
 
 def test_parts_that_have_begun_do_not_crowd_out_the_one_that_crashes(
-    ledger: CrashLedger,
+    crashes: CrashAttribution,
 ) -> None:
     sound = [f"a{number:03}" for number in range(2 * MAX_SUSPECTS)]
-    ledger.on_begun(SERVICE, [PromptPartId(part) for part in sound], 0.0)
+    crashes.on_begun(SERVICE, [PromptPartId(part) for part in sound], 0.0)
     for number in range(3):
-        ledger.merge(crash(number, BAD, *sound), 1.0)
-    assert quarantined(ledger) == [{BAD}]
+        crashes.merge(crash(number, BAD, *sound), 1.0)
+    assert quarantined(crashes) == [{BAD}]
 
 
-def test_a_part_that_several_crashes_share_is_refused(ledger: CrashLedger) -> None:
+def test_a_part_that_several_crashes_share_is_refused(
+    crashes: CrashAttribution,
+) -> None:
     for number in range(CRASHES_TO_QUARANTINE):
-        assert ledger.quarantine_of(SERVICE, [BAD]) is None
-        ledger.merge(crash(number, BAD, f"own-{number}"), 0.0)
-    assert quarantined(ledger) == [{BAD}]
-    assert ledger.quarantine_of(SERVICE, [SHARED, BAD]) is not None
-    assert ledger.quarantine_of(SERVICE, [SHARED, OTHER]) is None
-    assert ledger.quarantine_of("other engines", [BAD]) is None
+        assert crashes.quarantine_of(SERVICE, [BAD]) is None
+        crashes.merge(crash(number, BAD, f"own-{number}"), 0.0)
+    assert quarantined(crashes) == [{BAD}]
+    assert crashes.quarantine_of(SERVICE, [SHARED, BAD]) is not None
+    assert crashes.quarantine_of(SERVICE, [SHARED, OTHER]) is None
+    assert crashes.quarantine_of("other engines", [BAD]) is None
 
 
-def test_one_crash_that_several_relays_report_counts_once(ledger: CrashLedger) -> None:
+def test_one_crash_that_several_relays_report_counts_once(
+    crashes: CrashAttribution,
+) -> None:
     for _ in range(5):
-        ledger.merge(crash(1, BAD), 0.0)
-    assert quarantined(ledger) == []
+        crashes.merge(crash(1, BAD), 0.0)
+    assert quarantined(crashes) == []
 
 
-def test_parts_of_streams_that_begin_elsewhere_stay_served(ledger: CrashLedger) -> None:
-    ledger.on_begun(SERVICE, [SHARED], 0.0)
+def test_parts_of_streams_that_begin_elsewhere_stay_served(
+    crashes: CrashAttribution,
+) -> None:
+    crashes.on_begun(SERVICE, [SHARED], 0.0)
     for number in range(5):
-        ledger.merge(crash(number, SHARED, BAD), 1.0)
-    assert quarantined(ledger) == [{BAD}]
-    assert ledger.quarantine_of(SERVICE, [SHARED]) is None
+        crashes.merge(crash(number, SHARED, BAD), 1.0)
+    assert quarantined(crashes) == [{BAD}]
+    assert crashes.quarantine_of(SERVICE, [SHARED]) is None
 
 
 def test_parts_that_fit_the_same_crashes_are_refused_only_together(
-    ledger: CrashLedger,
+    crashes: CrashAttribution,
 ) -> None:
     for number in range(3):
-        ledger.merge(crash(number, SHARED, BAD), 0.0)
-    assert quarantined(ledger) == [{SHARED, BAD}]
-    assert ledger.quarantine_of(SERVICE, [SHARED, OTHER]) is None
-    assert ledger.quarantine_of(SERVICE, [OTHER, BAD]) is None
-    ledger.on_begun(SERVICE, [SHARED, OTHER], 1.0)
-    assert quarantined(ledger) == [{BAD}]
+        crashes.merge(crash(number, SHARED, BAD), 0.0)
+    assert quarantined(crashes) == [{SHARED, BAD}]
+    assert crashes.quarantine_of(SERVICE, [SHARED, OTHER]) is None
+    assert crashes.quarantine_of(SERVICE, [OTHER, BAD]) is None
+    crashes.on_begun(SERVICE, [SHARED, OTHER], 1.0)
+    assert quarantined(crashes) == [{BAD}]
 
 
-def test_two_parts_that_crash_engines_are_told_apart(ledger: CrashLedger) -> None:
+def test_two_parts_that_crash_engines_are_told_apart(crashes: CrashAttribution) -> None:
     for number in range(3):
-        ledger.merge(crash(number, BAD, SHARED, f"own-{number}"), 0.0)
-        ledger.merge(crash(number + 10, OTHER, SHARED, f"more-{number}"), 0.0)
-    ledger.on_begun(SERVICE, [SHARED], 1.0)
-    assert sorted(map(sorted, quarantined(ledger))) == [[BAD], [OTHER]]
+        crashes.merge(crash(number, BAD, SHARED, f"own-{number}"), 0.0)
+        crashes.merge(crash(number + 10, OTHER, SHARED, f"more-{number}"), 0.0)
+    crashes.on_begun(SERVICE, [SHARED], 1.0)
+    assert sorted(map(sorted, quarantined(crashes))) == [[BAD], [OTHER]]
 
 
-def test_engines_killed_together_put_no_part_in_quarantine(ledger: CrashLedger) -> None:
+def test_engines_killed_together_put_no_part_in_quarantine(
+    crashes: CrashAttribution,
+) -> None:
     """Sound streams that were about to begin go on elsewhere at once."""
     rng = random.Random(1)
     parts = [f"subject-{number}" for number in range(20)]
     for number in range(12):
-        ledger.merge(crash(number, *rng.choices(parts, k=3)), 0.0)
+        crashes.merge(crash(number, *rng.choices(parts, k=3)), 0.0)
     for part in parts:
-        ledger.on_begun(SERVICE, [PromptPartId(part)], 0.5)
-    assert quarantined(ledger) == []
+        crashes.on_begun(SERVICE, [PromptPartId(part)], 0.5)
+    assert quarantined(crashes) == []
 
 
-def test_a_begun_stream_releases_the_part(ledger: CrashLedger) -> None:
+def test_a_begun_stream_releases_the_part(crashes: CrashAttribution) -> None:
     for number in range(3):
-        ledger.merge(crash(number, BAD), 0.0)
-    changed = ledger.on_begun(SERVICE, [BAD], 1.0)
+        crashes.merge(crash(number, BAD), 0.0)
+    changed = crashes.on_begun(SERVICE, [BAD], 1.0)
     assert len(changed) == 3
-    assert quarantined(ledger) == []
+    assert quarantined(crashes) == []
 
 
-def test_evidence_expires_and_leaves_nothing_behind(ledger: CrashLedger) -> None:
+def test_evidence_expires_and_leaves_nothing_behind(crashes: CrashAttribution) -> None:
     for number in range(3):
-        ledger.merge(crash(number, BAD), 0.0)
-    ledger.on_begun(SERVICE, [SHARED], 0.0)
-    ledger.expire(EVIDENCE_MEMORY_S - 1)
-    assert quarantined(ledger) == [{BAD}]
-    ledger.expire(EVIDENCE_MEMORY_S)
-    assert quarantined(ledger) == []
-    assert ledger.evidence(EVIDENCE_MEMORY_S) == []
+        crashes.merge(crash(number, BAD), 0.0)
+    crashes.on_begun(SERVICE, [SHARED], 0.0)
+    crashes.expire(EVIDENCE_MEMORY_S - 1)
+    assert quarantined(crashes) == [{BAD}]
+    crashes.expire(EVIDENCE_MEMORY_S)
+    assert quarantined(crashes) == []
+    assert crashes.evidence(EVIDENCE_MEMORY_S) == []
     old = crash(9, BAD, age_s=EVIDENCE_MEMORY_S)
-    assert ledger.merge(old, EVIDENCE_MEMORY_S) is None
+    assert crashes.merge(old, EVIDENCE_MEMORY_S) is None
 
 
-def test_a_peer_with_an_old_report_does_not_renew_evidence(ledger: CrashLedger) -> None:
-    ledger.merge(crash(1, BAD, age_s=100.0), 100.0)
-    ledger.merge(crash(1, BAD, OTHER), 200.0)
-    (evidence,) = ledger.evidence(200.0)
+def test_a_peer_with_an_old_report_does_not_renew_evidence(
+    crashes: CrashAttribution,
+) -> None:
+    crashes.merge(crash(1, BAD, age_s=100.0), 100.0)
+    crashes.merge(crash(1, BAD, OTHER), 200.0)
+    (evidence,) = crashes.evidence(200.0)
     assert evidence.age_s == 200.0
 
 
 def test_a_part_may_be_tried_later_after_each_further_crash(
-    ledger: CrashLedger,
+    crashes: CrashAttribution,
 ) -> None:
     delays_s = []
     for number in range(8):
-        ledger.merge(crash(number, BAD), 0.0)
+        crashes.merge(crash(number, BAD), 0.0)
         delays_s += [
-            item.trial_delay_s for item in ledger.quarantines().get(SERVICE, [])
+            item.trial_delay_s for item in crashes.quarantines().get(SERVICE, [])
         ]
     assert delays_s[0] == FIRST_TRIAL_S
     assert delays_s == sorted(delays_s)
     assert delays_s[-1] < EVIDENCE_MEMORY_S / CRASHES_TO_QUARANTINE + FIRST_TRIAL_S
 
 
-def test_state_is_bounded(ledger: CrashLedger) -> None:
+def test_state_is_bounded(crashes: CrashAttribution) -> None:
     for number in range(3):
-        ledger.merge(crash(number, BAD, age_s=5.0), 10.0)
+        crashes.merge(crash(number, BAD, age_s=5.0), 10.0)
     for number in range(10, 10 + 3 * MAX_CRASHES):
         parts = [f"part-{number}-{part}" for part in range(2 * MAX_SUSPECTS)]
-        ledger.merge(crash(number, *parts), 10.0)
-        ledger.on_begun(SERVICE, [PromptPartId(part) for part in parts], 10.0)
-    evidence = ledger.evidence(10.0)
+        crashes.merge(crash(number, *parts), 10.0)
+        crashes.on_begun(SERVICE, [PromptPartId(part) for part in parts], 10.0)
+    evidence = crashes.evidence(10.0)
     assert len(evidence) == MAX_CRASHES
     assert max(len(item.suspects) for item in evidence) == MAX_SUSPECTS
-    assert len(ledger._begun_s_by_part) <= MAX_BEGUN_PARTS
-    assert quarantined(ledger) == [{BAD}]
-    ledger.expire(10.0 + BEGUN_MEMORY_S + 1.0)
-    assert len(ledger._begun_s_by_part) == 0
+    assert len(crashes._begun_s_by_part) <= MAX_BEGUN_PARTS
+    assert quarantined(crashes) == [{BAD}]
+    crashes.expire(10.0 + BEGUN_MEMORY_S + 1.0)
+    assert len(crashes._begun_s_by_part) == 0
 
 
 @pytest.mark.parametrize("seed", range(20))
@@ -188,13 +198,13 @@
         )
         for number in range(12)
     ]
-    ledgers = [CrashLedger(), CrashLedger()]
-    for ledger in ledgers:
+    relay_crashes = [CrashAttribution(), CrashAttribution()]
+    for crashes in relay_crashes:
         for report in rng.sample(reports, len(reports)):
-            ledger.merge(report, 0.0)
+            crashes.merge(report, 0.0)
         for report in rng.sample(reports, 5):
-            ledger.merge(report, 0.0)
-    assert ledgers[0].quarantines() == ledgers[1].quarantines()
+            crashes.merge(report, 0.0)
+    assert relay_crashes[0].quarantines() == relay_crashes[1].quarantines()
 
 
 class _Sent(NamedTuple):
@@ -220,7 +230,7 @@
         The requests sent to engines, and for each sound request whether it was sent.
     """
     rng = random.Random(seed)
-    ledgers = [CrashLedger() for _ in range(relays)]
+    relay_crashes = [CrashAttribution() for _ in range(relays)]
     back_s = [0.0] * engines
     starts = [0] * engines
     reports: list[tuple[float, CrashEvidence]] = []
@@ -231,20 +241,20 @@
         due = [report for at_s, report in reports if at_s <= now]
         reports = [item for item in reports if item[0] > now]
         for report in due:
-            for ledger in ledgers:
-                ledger.merge(report, now)
+            for crashes in relay_crashes:
+                crashes.merge(report, now)
         is_bad = rng.random() < bad_per_s / (bad_per_s + sound_per_s)
         parts = [SHARED, BAD] if is_bad else [SHARED, PromptPartId(str(rng.random()))]
         up = [number for number in range(engines) if back_s[number] <= now]
-        relay = rng.choice(ledgers)
+        relay = rng.choice(relay_crashes)
         is_refused = relay.quarantine_of(SERVICE, parts) is not None
         if up and not is_refused:
             sent.append(_Sent(now, is_bad))
         if not is_bad:
             sound.append(not is_refused)
             if up:
-                for ledger in ledgers:
-                    ledger.on_begun(SERVICE, parts, now)
+                for crashes in relay_crashes:
+                    crashes.on_begun(SERVICE, parts, now)
         elif up and not is_refused:
             engine = rng.choice(up)
             starts[engine] += 1
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -139,7 +139,7 @@
         await asyncio.sleep(0.3)
         for running in cluster.relays:
             assert running.relay.quarantine.count == 0
-            assert running.relay.quarantine._ledger.evidence(0.0) == []
+            assert running.relay.quarantine._attribution.evidence(0.0) == []
 
 
 async def test_streams_that_wait_for_a_slot_are_refused_with_their_part(
--- a/wasabimux/decisions/crash_attribution.py
+++ b/wasabimux/decisions/crash_attribution.py
@@ -115,7 +115,7 @@
         return self.suspects - self.cleared
 
 
-class CrashLedger:
+class CrashAttribution:
     """Crashes of engines, and the parts of prompts that explain them."""
 
     def __init__(self) -> None:
--- a/wasabimux/relay/quarantine.py
+++ b/wasabimux/relay/quarantine.py
@@ -12,9 +12,9 @@
 
 from wasabimux._clock import loop_time
 from wasabimux.decisions.crash_attribution import (
+    CrashAttribution,
     CrashEvidence,
     CrashId,
-    CrashLedger,
     Quarantine,
 )
 from wasabimux.decisions.placement import rendezvous_top
@@ -35,10 +35,10 @@
 
 #: Time in s after its start for which a relay that has heard neither the store nor a
 #: peer refuses prompts, as it does not know which are in quarantine.
-UNKNOWN_REFUSED_S = 2.0
+STARTUP_REFUSAL_S = 2.0
 
 #: Delay before clients may retry while the quarantine is not known.
-UNKNOWN_RETRY_AFTER_S = 0.5
+STARTUP_RETRY_AFTER_S = 0.5
 
 #: Bounds of the Retry-After of prompts in quarantine.
 MIN_RETRY_AFTER_S = 1.0
@@ -75,8 +75,8 @@
         self._store = store
         self._timeline = timeline
         self._on_change = on_change
-        self._ledger = CrashLedger()
-        self._known = False
+        self._attribution = CrashAttribution()
+        self._is_synced = False  # knows quarantines from before its start
         self._started_s = loop_time()
         self._unconfirmed_by_engine: dict[Upstream, set[PromptPartId]] = {}
         self._checks: set[asyncio.Task[None]] = set()
@@ -114,13 +114,13 @@
         now = loop_time()
         if not parts:
             return None
-        if not self._known and now - self._started_s < UNKNOWN_REFUSED_S:
+        if not self._is_synced and now - self._started_s < STARTUP_REFUSAL_S:
             return request.refusal_error(
                 ErrorCode.STALE_SETTINGS,
                 "it is not known yet which prompts are in quarantine",
-                UNKNOWN_RETRY_AFTER_S,
+                STARTUP_RETRY_AFTER_S,
             )
-        found = self._ledger.quarantine_of(request.service.name, parts)
+        found = self._attribution.quarantine_of(request.service.name, parts)
         if found is None or request.trial_of == found.parts:
             return None
         if self._try_again(found, now):
@@ -136,7 +136,7 @@
     def may_retry(self, request: RelayRequest) -> bool:
         """Returns whether a request that was lost as it began may be sent again."""
         parts = request.metadata.shared_parts
-        return not self._ledger.is_suspect(request.service.name, parts)
+        return not self._attribution.is_suspect(request.service.name, parts)
 
     def on_start_lost(self, request: RelayRequest, engine: Upstream) -> None:
         """Records that an engine cut a stream that was about to begin."""
@@ -157,16 +157,16 @@
         """Records that a stream has begun."""
         now = loop_time()
         parts = request.metadata.shared_parts
-        self._share(self._ledger.on_begun(request.service.name, parts, now), now)
+        self._share(self._attribution.on_begun(request.service.name, parts, now), now)
 
     def on_linked(self, link: Link) -> None:
         """Tells a peer all that is known, once a link to it is established."""
-        evidence = tuple(self._ledger.evidence(loop_time()))
-        link.send(0, EngineCrashes(self._known, evidence))
+        evidence = tuple(self._attribution.evidence(loop_time()))
+        link.send(0, EngineCrashes(self._is_synced, evidence))
 
     def on_peer_evidence(self, message: EngineCrashes) -> None:
         """Merges the evidence of a peer."""
-        self._known = self._known or message.complete
+        self._is_synced = self._is_synced or message.complete
         self._merge(message.crashes)
 
     async def run(self) -> None:
@@ -174,12 +174,12 @@
         while True:
             if not self._store.loaded:
                 self._merge(await self._store.load())
-                self._known = self._known or self._store.loaded
+                self._is_synced = self._is_synced or self._store.loaded
             await asyncio.sleep(CHECK_INTERVAL_S)
-            self._ledger.expire(loop_time())
+            self._attribution.expire(loop_time())
             self._note_changes()
             if self._store.loaded:
-                await self._store.update(self._ledger.quarantines())
+                await self._store.update(self._attribution.quarantines())
 
     async def _check_ended(self, engine: Upstream) -> None:
         """Records a crash once it is known that the engine's process has ended.
@@ -207,7 +207,7 @@
 
     def _merge(self, crashes: Iterable[CrashEvidence]) -> None:
         now = loop_time()
-        merged = [self._ledger.merge(evidence, now) for evidence in crashes]
+        merged = [self._attribution.merge(evidence, now) for evidence in crashes]
         changed = [evidence for evidence in merged if evidence is not None]
         for evidence in changed:
             self._timeline.record(
@@ -222,14 +222,14 @@
     def _share(self, changed: list[CrashEvidence], now: float) -> None:
         """Passes evidence that was new to this relay on to the others."""
         if changed:
-            self._mesh.broadcast(EngineCrashes(self._known, tuple(changed)))
+            self._mesh.broadcast(EngineCrashes(self._is_synced, tuple(changed)))
             self._note_changes()
 
     def _note_changes(self) -> None:
         """Records quarantines that have begun or ended."""
         by_parts = {
             item.parts: item
-            for items in self._ledger.quarantines().values()
+            for items in self._attribution.quarantines().values()
             for item in items
         }
         before, self._quarantined = self._quarantined, frozenset(by_parts)
