--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -7,11 +7,18 @@
 
 import asyncio
 import hashlib
+import itertools
 import json
 import time
 from typing import Any
 
 from benchmarks.measure import Measurement, bytes_each, seconds_per_call
+from wasabimux.decisions.crash_attribution import (
+    MAX_CRASHES,
+    CrashAttribution,
+    CrashEvidence,
+    CrashId,
+)
 from wasabimux.decisions.rate import (
     GrantDecision,
     GrantOutcome,
@@ -23,13 +30,20 @@
 from wasabimux.decisions.replies import ReplyTable
 from wasabimux.entry.claims import ClaimRecord
 from wasabimux.entry.rate_shards import ShardHolder, ShardRecord
-from wasabimux.ids import Incarnation, RequestId, SettingsVersion
+from wasabimux.ids import (
+    Incarnation,
+    PromptPartId,
+    RequestId,
+    SettingsVersion,
+    UpstreamId,
+)
 from wasabimux.link.channels import memory_channel_pair
 from wasabimux.link.codec import decode_frame, encode_frame
 from wasabimux.link.link import Link, LinkCallbacks
 from wasabimux.link.messages import (
     Data,
     EndStream,
+    EngineCrashes,
     FrameItem,
     GrantReply,
     GrantRequest,
@@ -220,6 +234,49 @@
     ]
 
 
+def measure_crash_attribution() -> list[Measurement]:
+    """Measures what a relay keeps, computes and sends for crashes of engines."""
+
+    def evidence(number: int) -> CrashEvidence:
+        parts = [f"{number:04x}{part:08x}" for part in range(4)]
+        suspects = frozenset(PromptPartId(part) for part in [*parts, "bad0"])
+        crash = CrashId(UpstreamId(f"i-{number:010x}"), 1 << 40)
+        return CrashEvidence(crash, "engines", 1.0, suspects)
+
+    def fill(count: int) -> CrashAttribution:
+        filled = CrashAttribution()
+        for number in range(count):
+            filled.merge(evidence(number), 0.0)
+        return filled
+
+    full = fill(MAX_CRASHES)
+    numbers = itertools.count()
+
+    def begin() -> None:
+        full.on_begun("engines", [PromptPartId(f"{next(numbers):012x}")], 0.0)
+
+    merged = itertools.cycle(evidence(number) for number in range(1_000))
+    message = EngineCrashes(True, (evidence(1),))
+    frame = encode_frame(1, [FrameItem(0, message)])
+    begin_s = seconds_per_call(begin, 5_000)
+    merge_s = seconds_per_call(lambda: full.merge(next(merged), 0.0), 500)
+    return [
+        Measurement("wire.engine_crash", len(frame) + LENGTH_BYTES, "B"),
+        Measurement("relay.cpu_per_begun_stream", begin_s * 1e6, "us"),
+        Measurement("relay.cpu_per_crash_report", merge_s * 1e6, "us"),
+        Measurement("relay.memory_per_crash", bytes_each(fill, MAX_CRASHES), "B"),
+        Measurement("relay.memory_per_begun_part", bytes_each(_begun, 4_000), "B"),
+    ]
+
+
+def _begun(count: int) -> CrashAttribution:
+    """Returns an attribution that knows of a number of parts that have begun."""
+    attribution = CrashAttribution()
+    for number in range(count):
+        attribution.on_begun("engines", [PromptPartId(f"{number:012x}")], 0.0)
+    return attribution
+
+
 def measure_memory() -> list[Measurement]:
     """Measures the memory of links, streams, stored replies and events."""
 
@@ -377,6 +434,7 @@
         measure_settings,
         measure_wire_messages,
         measure_shard_holder,
+        measure_crash_attribution,
         measure_memory,
         measure_requests,
     ):
