Make two new tests independent of the speed of the machine

The refusal of calls without a turn was checked by comparing times of responses, which a busy machine can reorder; it is now checked in virtual time, with the turns that stay. The crashing part through killed and paused relays counted all requests from the start; it now follows the rule: three at most from 3 s after the crashes that show the part.

--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -15,6 +15,7 @@
 from wasabimux.ids import UpstreamId
 from wasabimux.platform.headers import PlatformHeaderCodec
 from wasabimux.relay.model import ServiceProfile
+from wasabimux.relay.pacing import NAMED_RATE_FRACTION
 from wasabimux.relay.placing import UpstreamSelector
 from wasabimux.relay.upstreams import Upstream
 from wasabimux.standins.virtual_fleet import run_in_virtual_time
@@ -102,7 +103,6 @@
     assert len(served) + len(refused) == len(results)
     assert served and refused
     assert all(item.retry_after_s >= 0.2 for item in refused)
-    assert max(item.ended_s for item in refused) <= max(item.ended_s for item in served)
     assert ran <= 8 + len(served)
 
 
@@ -112,12 +112,10 @@
     Attributes:
         status: Status of the response.
         retry_after_s: Time in s after which the caller may retry, 0 if not told.
-        ended_s: Time in s at which the response was complete.
     """
 
     status: int
     retry_after_s: float
-    ended_s: float
 
 
 async def call_once(cluster: RelayCluster, number: int) -> CallResult:
@@ -125,7 +123,7 @@
     async with await cluster.request("/unsafe/1", f"r{number}") as response:
         await response.body()
         retry_after = dict(response.headers).get(b"retry-after", b"0")
-        return CallResult(response.status, float(retry_after), loop_time())
+        return CallResult(response.status, float(retry_after))
 
 
 SERVICE = ServiceProfile("desk", 100, 0.0, 0.0, None)
@@ -141,6 +139,31 @@
     return found
 
 
+def test_a_turn_that_comes_too_late_is_refused_and_not_taken() -> None:
+    """A call is told at once; the turns that it could not use stay for others."""
+    relays, limit_per_s, longest_wait_s = 6, 5.0, 1.5
+    interval_s = relays / (NAMED_RATE_FRACTION * limit_per_s)
+
+    async def run() -> None:
+        selector = relay_selector(relays, 1, upstream_record("limited"))
+        limited = selector.by_id(UpstreamId("limited"))
+        assert limited is not None
+        limited.rate_limit_per_s = limit_per_s
+        now = loop_time()
+        latest_s = now + longest_wait_s
+        turns = [selector.claim_turn(SERVICE, now, latest_s, []) for _ in range(10)]
+        claimed_s = [turn.at_s for turn in turns if turn is not None]
+        pauses_s = [later - earlier for earlier, later in zip(claimed_s, claimed_s[1:])]
+        assert 1 <= len(claimed_s) <= 2
+        assert max(claimed_s) <= latest_s
+        assert pauses_s == pytest.approx([interval_s] * len(pauses_s))
+        wait_s = selector.turn_wait_s(SERVICE, now, [])
+        assert wait_s is not None
+        assert longest_wait_s < wait_s <= longest_wait_s + interval_s
+
+    run_in_virtual_time(run())
+
+
 def play(
     relays: int, limit_per_s: float, per_s: float, pauses: Sequence[float]
 ) -> list[float]:
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -7,7 +7,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Sequence
 from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import NamedTuple
@@ -28,6 +28,12 @@
 
 START_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 30.0
+
+#: Time in s after the fifth crash in which relays may learn of a part that crashes
+#: engines, and requests with it that may be sent afterwards, as the rules state.
+STABLE_WINDOW_S = 3.0
+MAX_SENT_AFTERWARDS = 3
+
 TOKEN_HEADERS = {"wasabimux_token_count": "100,60"}
 
 
@@ -228,7 +234,6 @@
 async def test_part_that_crashes_engines_is_refused_though_relays_are_killed_and_paused(
     cluster: ProcessCluster,
 ) -> None:
-    """Five crashes may show the part; three requests with it may follow."""
     first, second = cluster.relays
     engines = [cluster.runners[name] for name in ("dec-1", "dec-2")]
     for engine in engines:
@@ -243,7 +248,8 @@
 
     async with restarted_after_crashes(cluster.store, engines, 0.3):
         await send_with_part()
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(STABLE_WINDOW_S)
+        known = count_with_part(engines)
         first.send_signal(signal.SIGKILL)
         await first.wait()
         first.start()
@@ -262,9 +268,11 @@
         await send_with_part()
         for number, relay in enumerate(cluster.relays):
             assert await stream_status(relay, "5a5a", f"d{number}") == 200
-    sent = [run for engine in engines for run in engine.runs if _has_part(run.headers)]
-    assert len(sent) <= 5 + 3
+    assert known >= 3
+    assert count_with_part(engines) - known <= MAX_SENT_AFTERWARDS
 
 
-def _has_part(headers: dict[bytes, bytes]) -> bool:
-    return b"bad0" in headers.get(b"wasabimux-prompt-prefix", b"")
+def count_with_part(engines: Sequence[StandInRunner]) -> int:
+    """Returns how many requests with the part have reached engines."""
+    headers = [run.headers for engine in engines for run in engine.runs]
+    return sum(b"bad0" in item.get(b"wasabimux-prompt-prefix", b"") for item in headers)
