--- a/wasabimux/relay/quarantine.py
+++ b/wasabimux/relay/quarantine.py
@@ -214,8 +214,8 @@
                 "engine_crashed",
                 upstream=evidence.crash.upstream,
                 age_s=round(evidence.age_s, 1),
-                suspects=",".join(sorted(evidence.suspects)),
-                cleared=",".join(sorted(evidence.cleared)),
+                suspects=_text(evidence.suspects),
+                cleared=_text(evidence.cleared),
             )
         self._share(changed, now)
 
@@ -236,10 +236,10 @@
         for parts in self._quarantined - before:
             crashes = len(by_parts[parts].crashes)
             self._timeline.record(
-                "prompt_quarantined", parts=",".join(sorted(parts)), crashes=crashes
+                "prompt_quarantined", parts=_text(parts), crashes=crashes
             )
         for parts in before - self._quarantined:
-            self._timeline.record("prompt_released", parts=",".join(sorted(parts)))
+            self._timeline.record("prompt_released", parts=_text(parts))
             self._trial_s_by_parts.pop(parts, None)
         if self._quarantined - before:
             self._on_change()
@@ -254,15 +254,18 @@
         if not self._owns(quarantine, now):
             return False
         self._trial_s_by_parts[quarantine.parts] = now
-        self._timeline.record(
-            "quarantine_tried", parts=",".join(sorted(quarantine.parts))
-        )
+        self._timeline.record("quarantine_tried", parts=_text(quarantine.parts))
         return True
 
     def _owns(self, quarantine: Quarantine, now: float) -> bool:
         """Returns whether this relay is the one that may try parts again."""
         aggregators = self._mesh.live_aggregators(now)
-        key = ",".join(sorted(quarantine.parts)).encode()
+        key = _text(quarantine.parts).encode()
         return not aggregators or (
             rendezvous_top(key, aggregators, 1)[0] == self._mesh.address
         )
+
+
+def _text(parts: Iterable[PromptPartId]) -> str:
+    """Returns parts in a fixed order, as text for a log line or a hash."""
+    return ",".join(sorted(parts))
