Tell a script that could not run from a broken rule

Cause: an unexpected error, or a missing build, ended a script of the review with 1, which stands for a broken rule. Ports of the relays were not looked at before use, and a script that was stopped by SIGTERM left its relays running.

Done: such ends exit with 2; the loopback addresses are chosen so that the ports are free; SIGTERM ends the relays too.

--- a/review/harness.py
+++ b/review/harness.py
@@ -12,10 +12,12 @@
 import random
 import re
 import signal
+import socket
 import sys
 import tempfile
 import time
 import tomllib
+import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -43,6 +45,11 @@
 #: second without data and two probes a second apart.
 KEEPALIVE_S = 3.0
 
+#: Ports of a relay: clients, readiness, peers, and the admin port of the template.
+RELAY_PORTS = (8360, 8365, 7500, 9464)
+MAX_RELAYS = 8
+MAX_NETWORK_TRIES = 50
+
 #: Size of the pieces in which clients send a body.
 PIECE_BYTES = 50_000
 
@@ -343,7 +350,7 @@
         self.runners: dict[str, Runner] = {}
         self._directory = directory
         self._stack = contextlib.AsyncExitStack()
-        self._net = f"127.{random.randint(16, 250)}.{random.randint(0, 250)}"
+        self._net = _free_network()
         self._store_address = ""
         self._numbers = iter(range(1, 1_000_000_000))
 
@@ -584,6 +591,30 @@
     return state | changes
 
 
+def _free_network() -> str:
+    """Returns the first three parts of loopback addresses whose ports are free.
+
+    Raises:
+        CannotRun: None was found.
+    """
+    for _ in range(MAX_NETWORK_TRIES):
+        network = f"127.{random.randint(16, 250)}.{random.randint(0, 250)}"
+        hosts = (f"{network}.{10 + index}" for index in range(MAX_RELAYS))
+        if all(_is_free(host, port) for host in hosts for port in RELAY_PORTS):
+            return network
+    raise CannotRun("no loopback addresses with free ports")
+
+
+def _is_free(host: str, port: int) -> bool:
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            listener.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
 Case = Callable[[Deployment, bool], Awaitable[bool]]
 
 
@@ -611,11 +642,14 @@
                                 relay.log()
                             )
 
+    # A script that is stopped ends its processes as well.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         held = asyncio.run(run())
-    except (CannotRun, OSError, TimeoutError) as error:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
         record.write(f"could not run: {error!r}")
         record.close()
+        traceback.print_exc()
         print(f"could not run: {error!r}", file=sys.stderr)
         sys.exit(COULD_NOT_RUN)
     record.write("rule held" if held else "RULE BROKEN")
