Bound what one connection has handled before others get their turn

Cause: the loops that read responses and bodies parsed all that was at hand without yielding, 10 us and more for each chunk whatever its size, and the splitter of events joined and split an unfinished event again for each chunk. No timer could run either.

The splitter searches new bytes only, bodies gather in one buffer, links hand over after 256 messages, and so does the writing of events. A request's body has to arrive before the request's deadline, 504 otherwise.

--- a/wasabimux/adapters/http_client.py
+++ b/wasabimux/adapters/http_client.py
@@ -11,10 +11,11 @@
 
 import h11
 
+from wasabimux.adapters.http_receiver import HttpReceiver
 from wasabimux.ports import Headers, UpstreamLost
+from wasabimux.turns import Turn
 
 CONNECT_TIMEOUT_S = 2.0
-READ_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 32 * 1024
 MAX_IDLE_CONNECTIONS = 64
 
@@ -97,7 +98,7 @@
         self.close()
 
     async def pieces(self) -> AsyncIterator[bytes]:
-        """Yields chunks of the body as they arrive.
+        """Yields the body as it arrives, in pieces of what is at hand.
 
         Raises:
             UpstreamLost: The connection ended before the response.
@@ -121,15 +122,12 @@
             UpstreamLost: The connection ended before the response, or the body has more
                 than MAX_WHOLE_BODY_BYTES.
         """
-        return b"".join([chunk async for chunk in self._bounded_chunks()])
-
-    async def _bounded_chunks(self) -> AsyncIterator[bytes]:
-        size = 0
-        async for chunk in self.pieces():
-            size += len(chunk)
-            if size > MAX_WHOLE_BODY_BYTES:
+        body = bytearray()
+        async for piece in self.pieces():
+            body += piece
+            if len(body) > MAX_WHOLE_BODY_BYTES:
                 raise UpstreamLost("the response body is too large", sent=True)
-            yield chunk
+        return bytes(body)
 
     def is_first(self, name: str | None) -> bool:
         """Returns whether no response on the connection gave a name before.
@@ -310,7 +308,8 @@
     ) -> None:
         self._reader = reader
         self._writer = writer
-        self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        self._turn = Turn(writer.get_extra_info("peername"))
+        self._start_parser()
         self._sent: list[h11.Event] = []
         self._has_skipped = False
         self.given_names: deque[str] = deque(maxlen=MAX_GIVEN_NAMES)
@@ -352,7 +351,7 @@
         """Returns the head of the response after a whole one, to the same request."""
         received, has_ended = self._http.trailing_data
         self._has_skipped = True
-        self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        self._start_parser()
         for event in self._sent:
             self._http.send(event)  # its bytes have been sent before
         if received:
@@ -361,6 +360,10 @@
             self._http.receive_data(b"")
         return await self._read_head()
 
+    def _start_parser(self) -> None:
+        self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
+        self._receiver = HttpReceiver(self._http, self._reader, self._turn)
+
     async def _read_head(self) -> h11.Response:
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self.next_event()
@@ -375,11 +378,7 @@
     async def next_event(self) -> Any:
         """Returns the next h11 event of the response."""
         try:
-            while True:
-                event = self._http.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                self._http.receive_data(await self._reader.read(READ_BYTES))
+            return await self._receiver.next_event()
         except (OSError, h11.RemoteProtocolError) as error:
             raise UpstreamLost(str(error), sent=True) from error
 
--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -16,12 +16,14 @@
 
 import h11
 
+from wasabimux._clock import loop_time
 from wasabimux.adapters.http_client import has_unread_data, is_readable
+from wasabimux.adapters.http_receiver import READ_BYTES, HttpReceiver
 from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError, refused
 from wasabimux.ports import Headers
+from wasabimux.turns import Turn
 
 MAX_HEAD_BYTES = 32 * 1024
-READ_BYTES = 64 * 1024
 LISTEN_BACKLOG = 512
 WRITE_BUFFER_BYTES = 64 * 1024
 
@@ -238,8 +240,10 @@
         self._reader = reader
         self._writer = writer
         self._http = h11.Connection(h11.SERVER, MAX_HEAD_BYTES)
+        peer = writer.get_extra_info("peername")
+        self._receiver = HttpReceiver(self._http, reader, Turn(peer))
+        self._write_turn = Turn(peer)
         self._busy = False
-        self._body_bytes = 0
         self._expects_continue = False
         self._body_read = asyncio.Event()
         writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
@@ -304,7 +308,6 @@
             return None
         if not isinstance(event, h11.Request):
             return None
-        self._body_bytes = 0
         self._expects_continue = self._http.they_are_waiting_for_100_continue
         headers = [(bytes(name), bytes(value)) for name, value in event.headers]
         refusal = _check_framing(headers, self._server.limits.max_body_bytes)
@@ -325,23 +328,16 @@
     async def _read_head_event(self) -> Any:
         """Returns the event of a head; the header timeout starts at its first byte."""
         limits = self._server.limits
-        event = self._http.next_event()
+        event = self._receiver.event_at_hand()
         if event is h11.NEED_DATA:
             if not self._http.trailing_data[0]:
                 async with asyncio.timeout(limits.idle_timeout_s):
                     data = await self._reader.read(READ_BYTES)
                 self._http.receive_data(data)
             async with asyncio.timeout(limits.header_timeout_s):
-                event = await self._next_event()
+                event = await self._receiver.next_event()
         return event
 
-    async def _next_event(self) -> Any:
-        while True:
-            event = self._http.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            self._http.receive_data(await self._reader.read(READ_BYTES))
-
     async def _read_body(self) -> bytes:
         if self._body_read.is_set():
             return b""  # no body, or already read
@@ -349,11 +345,11 @@
             self._expects_continue = False
             interim_response = h11.InformationalResponse(status_code=100, headers=[])
             self._write(self._http.send(interim_response))
-        chunks: list[bytes] = []
+        body = bytearray()
         while True:
             try:
                 async with asyncio.timeout(self._server.limits.body_timeout_s):
-                    event = await self._next_event()
+                    event = await self._receiver.next_event()
             except TimeoutError:
                 raise refused(
                     ErrorCode.BAD_REQUEST, "timeout while reading the request body"
@@ -362,11 +358,10 @@
                 raise refused(ErrorCode.BAD_REQUEST, str(error))
             if not isinstance(event, h11.Data):
                 self._body_read.set()
-                return b"".join(chunks)
-            self._body_bytes += len(event.data)
-            if self._body_bytes > self._server.limits.max_body_bytes:
+                return bytes(body)
+            body += event.data
+            if len(body) > self._server.limits.max_body_bytes:
                 raise refused(ErrorCode.TOO_LARGE, "request body is too large")
-            chunks.append(bytes(event.data))
 
     async def _respond(self, request: HttpRequest) -> None:
         """Runs the handler and sends its response, unless the client disconnects."""
@@ -411,7 +406,7 @@
             response = refusal_response(internal_error)
         complete = False
         try:
-            body_is_unread = self._http.their_state is h11.SEND_BODY
+            body_is_unread = not self._body_read.is_set()
             await self._write_response(response, close=body_is_unread)
             complete = True
         finally:
@@ -433,8 +428,11 @@
         else:
             async with aclosing(response.body) as chunks:
                 async for chunk in chunks:
+                    started_s = loop_time()
                     self._write(self._http.send(h11.Data(data=chunk)))
+                    self._write_turn.add(1, len(chunk), loop_time() - started_s)
                     await self._flush()
+                    await self._write_turn.hand_over()
         self._write(self._http.send(h11.EndOfMessage()))
         await self._flush()
 
--- a/wasabimux/link/link.py
+++ b/wasabimux/link/link.py
@@ -31,6 +31,9 @@
 #: Maximum number of items in one frame; keeps frames smaller than MAX_FRAME_BYTES.
 MAX_ITEMS_PER_FRAME = 64
 
+#: Messages of one link that are handled before others get their turn.
+MAX_ITEMS_PER_TURN = 256
+
 logger = logging.getLogger("wasabimux.link")
 
 
@@ -201,7 +204,11 @@
 
     async def _receive_frames(self) -> None:
         loop = asyncio.get_running_loop()
+        items = 0
         while True:
+            if items >= MAX_ITEMS_PER_TURN:
+                items = 0
+                await asyncio.sleep(0)
             body = await self._channel.receive()
             if body is None:
                 break
@@ -212,6 +219,7 @@
                 logger.warning('event=bad_frame error="%s"', error)
                 break
             self._clock.merge(frame.clock)
+            items += max(1, len(frame.items))
             if not all(self._dispatch(item) for item in frame.items):
                 logger.warning("event=protocol_violation peer=%s", self.peer)
                 break
--- a/wasabimux/relay/_events.py
+++ b/wasabimux/relay/_events.py
@@ -39,7 +39,7 @@
     """Splits bytes into events; buffers an event until it is complete."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
 
     @property
     def has_partial_event(self) -> bool:
@@ -49,10 +49,17 @@
     def feed(self, data: bytes) -> list[ServerSentEvent]:
         """Adds received bytes and returns the events that they complete.
 
+        Its cost does not depend on how much of an event was received before.
+
         Raises:
             UpstreamLost: An event has more than MAX_EVENT_BYTES.
         """
-        *complete, self._buffer = (self._buffer + data).split(EVENT_END)
+        search_start = max(0, len(self._buffer) + 1 - len(EVENT_END))
+        self._buffer += data
+        complete: list[bytes] = []
+        if self._buffer.find(EVENT_END, search_start) >= 0:
+            *complete, rest = bytes(self._buffer).split(EVENT_END)
+            self._buffer = bytearray(rest)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise UpstreamLost("an event of the stream is too large", sent=True)
         return [
--- a/wasabimux/relay/admission.py
+++ b/wasabimux/relay/admission.py
@@ -53,18 +53,31 @@
         self._timeline = timeline
         self._rng = rng
 
-    def admit(self, request: HttpRequest, body: bytes, now: float) -> RelayRequest:
+    def read_metadata(self, request: HttpRequest) -> RequestMetadata:
+        """Returns what the head of a request says of it."""
+        return self._header_codec.read_request(request.headers)
+
+    def deadline_s(
+        self, request: HttpRequest, metadata: RequestMetadata
+    ) -> float | None:
+        """Returns the deadline in s of a request by its head, None without a route."""
+        route = self._find_route(request)
+        return None if route is None else _deadline_s(request, route, metadata)
+
+    def admit(
+        self, request: HttpRequest, metadata: RequestMetadata, body: bytes, now: float
+    ) -> RelayRequest:
         """Admits a request and reserves its cost in the workspace's rate limit.
 
         Args:
             request: Request of a client.
+            metadata: What its head says of it.
             body: Complete body of the request.
             now: Current time in s.
 
         Raises:
             RefusedError: The request is not allowed or cannot be served.
         """
-        metadata = self._header_codec.read_request(request.headers)
         desired = self._view.desired_state
         if desired is None:
             raise _refused(
@@ -79,9 +92,6 @@
         if not metadata.id:
             text = "a request needs an identity"
             raise _refused(metadata.id, ErrorCode.BAD_REQUEST, text)
-        remaining_s = route.timeout_s
-        if metadata.time_left_s is not None:
-            remaining_s = min(remaining_s, metadata.time_left_s - RESPONSE_MARGIN_S)
         admitted = RelayRequest(
             metadata,
             request.method,
@@ -93,7 +103,7 @@
             workspace.id if workspace else None,
             desired.keys_required,
             request.arrived_s,
-            request.arrived_s + remaining_s,
+            _deadline_s(request, route, metadata),
         )
         if workspace is not None:
             self._reserve(admitted, workspace, now)
@@ -108,12 +118,15 @@
             )
 
     def _route(self, request: HttpRequest, metadata: RequestMetadata) -> RelayRoute:
-        host = (request.header(b"host") or b"").decode("latin-1")
-        route = self._view.routes.find(host, request.target.partition("?")[0])
+        route = self._find_route(request)
         if route is None:
             raise _refused(metadata.id, ErrorCode.NOT_FOUND, "no route leads there")
         return route
 
+    def _find_route(self, request: HttpRequest) -> RelayRoute | None:
+        host = (request.header(b"host") or b"").decode("latin-1")
+        return self._view.routes.find(host, request.target.partition("?")[0])
+
     def _workspace(
         self, metadata: RequestMetadata, route: RelayRoute, desired: DesiredState
     ) -> WorkspaceLimits | None:
@@ -174,6 +187,15 @@
         request.beyond_share = reservation.beyond_share
 
 
+def _deadline_s(
+    request: HttpRequest, route: RelayRoute, metadata: RequestMetadata
+) -> float:
+    remaining_s = route.timeout_s
+    if metadata.time_left_s is not None:
+        remaining_s = min(remaining_s, metadata.time_left_s - RESPONSE_MARGIN_S)
+    return request.arrived_s + remaining_s
+
+
 def _refused(
     request_id: RequestId,
     code: ErrorCode,
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -22,7 +22,7 @@
 from wasabimux.decisions.stream_estimates import StreamEstimates
 from wasabimux.decisions.usage_sums import UpstreamLoad, Usage
 from wasabimux.entry.peers import PeerLinks
-from wasabimux.errors import Ran, Refusal, RefusedError
+from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError
 from wasabimux.ids import FailureDomainId, RequestId, WorkspaceId, new_incarnation
 from wasabimux.link.channels import connect_tcp
 from wasabimux.link.link import Link, LinkTraffic
@@ -41,7 +41,7 @@
 from wasabimux.relay.generation import GenerationHandler
 from wasabimux.relay.leader_lease import LeaderLease
 from wasabimux.relay.mesh import Mesh, relay_hello
-from wasabimux.relay.model import WorkspaceLimits
+from wasabimux.relay.model import RequestMetadata, WorkspaceLimits
 from wasabimux.relay.moves import StreamMigrator
 from wasabimux.relay.notices import NoticeRecorder
 from wasabimux.relay.object_watcher import ObjectWatcher
@@ -337,10 +337,11 @@
             return response
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
-        body = await request.body()
-        now = loop_time()
         try:
-            admitted = self._admission.admit(request, body, now)
+            metadata = self._admission.read_metadata(request)
+            body = await self._read_body(request, metadata)
+            now = loop_time()
+            admitted = self._admission.admit(request, metadata, body, now)
         except RefusedError as error:
             self._count_refusal(UNKNOWN_KIND, error.refusal, request.arrived_s)
             raise
@@ -359,6 +360,27 @@
             self._admission.settle(admitted, loop_time())
         return self._count_when_done(response, kind, request.arrived_s)
 
+    async def _read_body(
+        self, request: HttpRequest, metadata: RequestMetadata
+    ) -> bytes:
+        """Returns the body of a request, for which its deadline holds as well.
+
+        Raises:
+            RefusedError: The body is malformed, too large or did not arrive in time.
+        """
+        deadline_s = self._admission.deadline_s(request, metadata)
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                return await request.body()
+        except RefusedError as error:
+            error.request_id = metadata.id
+            raise
+        except TimeoutError:
+            text = "the request's body did not arrive before its deadline"
+            refusal = RefusedError(Refusal(ErrorCode.DEADLINE, text))
+            refusal.request_id = metadata.id
+            raise refusal from None
+
     def _count_when_done(
         self, response: HttpResponse, kind: str, arrived_s: float
     ) -> HttpResponse:
