Date a removal before a later creation in the same answer of the store

Cause: the store names the last change of a removed object, not its removal. The view dated removals at the revision of the whole answer, so a creation after the removal, and before another change, counted as older than the removal.

Change: the client of the store dates a removal as late as it may have been, but before any later change of the same answer. The view takes revisions as they are, also those that peers forward.

--- a/wasabimux/platform/objects.py
+++ b/wasabimux/platform/objects.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Any
 
 from wasabimux.ids import StoreRevision
@@ -60,6 +60,32 @@
             yield ObjectChange(platform_object, bool(event.get("deleted")))
 
 
+def date_removals(
+    changes: Sequence[ObjectChange], revision: StoreRevision
+) -> list[ObjectChange]:
+    """Returns changes in which the revision of a removed object is that of its removal.
+
+    The store names the last change of the object before. The removal is dated as late
+    as it may have been, but before any later change in the same answer, among which the
+    object may have been created again.
+
+    Args:
+        changes: Changes in the order of the store.
+        revision: Revision up to which they are complete.
+    """
+    dated: list[ObjectChange] = []
+    latest = revision
+    for item, deleted in reversed(changes):
+        if deleted:
+            item = item._replace(revision=max(item.revision, latest))
+        else:
+            latest = min(
+                latest, item.revision._replace(number=item.revision.number - 1)
+            )
+        dated.append(ObjectChange(item, deleted))
+    return dated[::-1]
+
+
 def _check_list(value: Any) -> list[Any]:
     if not isinstance(value, list):
         raise StoreUnavailable("a response without a list")
--- a/wasabimux/platform/store.py
+++ b/wasabimux/platform/store.py
@@ -14,6 +14,7 @@
 from wasabimux.ids import NO_REVISION, StoreRevision
 from wasabimux.json_documents import DocumentError, decode_collection
 from wasabimux.platform.objects import (
+    date_removals,
     decode_changes,
     decode_objects,
     decode_revision_number,
@@ -119,7 +120,8 @@
             raise HistoryLost(kind)
         response = _check_response(answer)
         changes = list(decode_changes(response.get("events") or [], answer.era))
-        return ObjectChanges(changes, _store_revision(answer))
+        revision = _store_revision(answer)
+        return ObjectChanges(date_removals(changes, revision), revision)
 
     async def create(self, kind: str, name: str, value: Any) -> StoreRevision:
         """Creates an object and returns its revision."""
--- a/wasabimux/relay/view.py
+++ b/wasabimux/relay/view.py
@@ -149,7 +149,7 @@
         cache = self.objects(kind)
         self._on_era(revision.era)
         for item, deleted in changes:
-            item_revision = max(item.revision, revision) if deleted else item.revision
+            item_revision = item.revision
             cached = cache.get(item.name)
             if cached is not None and (
                 item_revision < cached.revision
