Let a relay be complete only up to what it has been told without a gap

Cause: a revision was taken for "all objects of the kind up to" where it only meant "this object as of". Objects that a peer forwards were applied one by one, each marked the kind as complete up to its own revision and was pushed on with that claim, so an older object of the same message was never pushed.

Change: a message says after which revision its changes are included; a receiver that is not complete up to there stays as complete as it was, reports so, and gets the rest. All objects of a message are applied at once. After a listing, peers from before it get the names of all objects, and drop the others. Objects from before the revision up to which a relay is complete are no news. Older relays ignore the new fields.

test_entry_that_a_peer_forwards_hides_no_other cleared the view's objects between its cases but not the revision that they were known at, which no relay does; each case has a view of its own now, with the same check.

The module of turns moves to adapters/, where it is used and its event is checked.

--- a/tests/test_complete_revisions.py
+++ b/tests/test_complete_revisions.py
@@ -1,12 +1,16 @@
-"""Up to which revision of the store a relay has all objects, however it heard of them."""
+"""Up to which revision of the store a relay has all objects of a kind."""
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from wasabimux.ids import FailureDomainId, StoreRevision
+from wasabimux.link.messages import ForwardedObject, ForwardedObjects, KindRevision
 from wasabimux.platform.documents import PlatformDocumentDecoder
 from wasabimux.platform.objects import date_removals
+from wasabimux.relay.forwarding import ObjectForwarder
 from wasabimux.relay.ports import ObjectChange, PlatformObject
 from wasabimux.relay.view import FleetView
 from wasabimux.timeline import Timeline
@@ -33,7 +37,7 @@
 def test_object_created_again_in_the_answer_that_removes_it_is_kept(
     view: FleetView,
 ) -> None:
-    """Regression: a removal was dated after a later creation, which was then ignored."""
+    """Regression: a removal was dated after a later creation, which was lost."""
     view.apply_changes(KIND, [change("zone-a", 5)], revision(5), 0.0)
     changes = [change("zone-a", 5, deleted=True), change("zone-a", 8)]
     changes.append(change("zone-b", 9))
@@ -47,3 +51,69 @@
     view.apply_changes(KIND, removals, revision(9), 1.0)
     view.apply_changes(KIND, [change("zone-a", 7)], revision(7), 2.0)
     assert FailureDomainId("zone-a") not in view.evacuated_domains
+
+
+class Link:
+    """A link that keeps what is sent on it."""
+
+    def __init__(self) -> None:
+        self.sent: list[Any] = []
+
+    def send(self, stream_id: int, message: Any) -> None:
+        """Keeps a message."""
+        self.sent.append(message)
+
+    def is_queued(self, message: Any) -> bool:
+        """Returns whether a message has not left this process."""
+        return False
+
+
+def forwarded(item: ObjectChange) -> ForwardedObject:
+    """Returns a change as a peer forwards it."""
+    changed = item.platform_object
+    return ForwardedObject(changed.name, changed.revision, item.deleted, b"{}")
+
+
+def test_evacuation_that_comes_with_a_later_change_is_passed_on(
+    view: FleetView,
+) -> None:
+    """Regression: relays in touch never heard of an evacuation passed on to them."""
+    link: Any = Link()
+    forwarder: ObjectForwarder
+    passing = FleetView(
+        PlatformDocumentDecoder(),
+        Timeline("test"),
+        lambda now: forwarder.push("10.0.0.2:1", link, now),
+    )
+    forwarder = ObjectForwarder(passing)
+    for known in (view, passing):
+        known.apply_changes(KIND, [change("zone-c", 5)], revision(5), 0.0)
+    peer_has = [KindRevision(KIND, revision(5))]
+    forwarder.on_peer_revisions("10.0.0.2:1", link, peer_has, 0.0)
+    changes = [change("zone-c", 11, deleted=True), change("zone-a", 10)]
+    objects = tuple(map(forwarded, changes))
+    forwarder.apply(ForwardedObjects(KIND, revision(11), False, objects), 1.0)
+    for message in link.sent:
+        ObjectForwarder(view).apply(message, 1.0)
+    assert view.evacuated_domains == {"zone-a"}
+
+
+def test_removal_that_a_relay_never_heard_of_is_passed_on(view: FleetView) -> None:
+    """Regression: a relay that had listed after a removal told its peers of nothing."""
+    link: Any = Link()
+    view.apply_changes(KIND, [change("zone-a", 5)], revision(5), 0.0)
+    fresh = FleetView(PlatformDocumentDecoder(), Timeline("test"), lambda now: None)
+    fresh.apply_listing(KIND, [], revision(8), 0.0)
+    peer_has = [KindRevision(KIND, revision(5))]
+    ObjectForwarder(fresh).on_peer_revisions("10.0.0.2:1", link, peer_has, 1.0)
+    for message in link.sent:
+        ObjectForwarder(view).apply(message, 1.0)
+    assert not view.evacuated_domains
+
+
+def test_old_news_does_not_bring_back_what_was_removed(view: FleetView) -> None:
+    """Regression: an object removed before a listing came back by a late message."""
+    view.apply_listing(KIND, [], revision(8), 0.0)
+    late = (forwarded(change("zone-a", 5)),)
+    ObjectForwarder(view).apply(ForwardedObjects(KIND, revision(5), False, late), 1.0)
+    assert not view.evacuated_domains
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -416,12 +416,11 @@
     return ForwardedObjects("servers", revision, False, tuple(objects))
 
 
-def test_entry_that_a_peer_forwards_hides_no_other(view: FleetView) -> None:
+def test_entry_that_a_peer_forwards_hides_no_other() -> None:
     good = json.dumps(entry()).encode()
     hidden = []
     for description, raw in (ODD_VALUES | {"no JSON": b"{", "nothing": b""}).items():
-        view.upstream_by_id.clear()
-        view.objects("servers").clear()
+        view = FleetView(PlatformDocumentDecoder(), Timeline("test"), lambda now: None)
         odd = b'{"extra": %s}' % raw if raw[:1] not in (b"{", b"") else raw
         message = forwarded([good, odd, good])
         try:
--- a/wasabimux/adapters/http_client.py
+++ b/wasabimux/adapters/http_client.py
@@ -12,8 +12,8 @@
 import h11
 
 from wasabimux.adapters.http_receiver import HttpReceiver
+from wasabimux.adapters.turns import Turn
 from wasabimux.ports import Headers, UpstreamLost
-from wasabimux.turns import Turn
 
 CONNECT_TIMEOUT_S = 2.0
 MAX_HEAD_BYTES = 32 * 1024
--- a/wasabimux/adapters/http_receiver.py
+++ b/wasabimux/adapters/http_receiver.py
@@ -8,7 +8,7 @@
 import h11
 
 from wasabimux._clock import loop_time
-from wasabimux.turns import Turn
+from wasabimux.adapters.turns import Turn
 
 READ_BYTES = 64 * 1024
 
--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -19,9 +19,9 @@
 from wasabimux._clock import loop_time
 from wasabimux.adapters.http_client import has_unread_data, is_readable
 from wasabimux.adapters.http_receiver import READ_BYTES, HttpReceiver
+from wasabimux.adapters.turns import Turn
 from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError, refused
 from wasabimux.ports import Headers
-from wasabimux.turns import Turn
 
 MAX_HEAD_BYTES = 32 * 1024
 LISTEN_BACKLOG = 512
--- a/wasabimux/turns.py
+++ b/wasabimux/adapters/turns.py
@@ -38,6 +38,11 @@
 )
 
 
+def _peer_text(peer: object) -> str:
+    """Returns the address of a peer as HOST:PORT, `unknown` without one."""
+    return f"{peer[0]}:{peer[1]}" if isinstance(peer, tuple) else "unknown"
+
+
 class Turn:
     """Pieces of one connection that are handled without handing over to others.
 
@@ -46,7 +51,7 @@
     """
 
     def __init__(self, peer: object) -> None:
-        self._peer = peer
+        self._peer = _peer_text(peer)
         self._share = _share_by_loop.setdefault(
             asyncio.get_running_loop(), _LoopShare()
         )
--- a/wasabimux/link/_relay_codec.py
+++ b/wasabimux/link/_relay_codec.py
@@ -153,6 +153,7 @@
     forwarded.kind = message.kind
     forwarded.era, forwarded.revision = message.revision
     forwarded.whole = message.is_snapshot
+    forwarded.sinceEra, forwarded.sinceRevision = message.since
     objects = forwarded.init("objects", len(message.objects))
     for target, (name, revision, deleted, value) in zip(objects, message.objects):
         target.name = name
@@ -231,6 +232,7 @@
             )
             for source in forwarded.objects
         ),
+        StoreRevision(forwarded.sinceEra, forwarded.sinceRevision),
     )
 
 
--- a/wasabimux/link/messages.py
+++ b/wasabimux/link/messages.py
@@ -13,7 +13,7 @@
 from wasabimux.decisions.rate import GrantDecision, GrantReport
 from wasabimux.decisions.stream_versions import StreamVersion
 from wasabimux.errors import ErrorCode, Ran, Refusal
-from wasabimux.ids import StoreRevision
+from wasabimux.ids import NO_REVISION, StoreRevision
 from wasabimux.ports import Headers
 
 PROTOCOL_VERSION = 1
@@ -294,17 +294,22 @@
 class ForwardedObjects(NamedTuple):
     """Platform objects of one kind, forwarded to a relay with an older revision.
 
+    A receiver that misses changes up to `since` still misses them afterwards.
+
     Attributes:
         kind: Kind of the objects.
-        revision: Store revision up to which no change is missing.
-        is_snapshot: True if these are all objects of the kind.
-        objects: The objects.
+        revision: Store revision up to which no change after `since` is missing.
+        is_snapshot: True if the names of all objects of the kind are included. Others
+            have been removed, also those whose removal the sender has not heard of.
+        objects: The objects; those that have not changed have an empty value.
+        since: Store revision after which changes are included.
     """
 
     kind: str
     revision: StoreRevision
     is_snapshot: bool
     objects: tuple[ForwardedObject, ...]
+    since: StoreRevision = NO_REVISION
 
 
 class DesiredStateOffer(NamedTuple):
--- a/wasabimux/link/wire.capnp
+++ b/wasabimux/link/wire.capnp
@@ -253,6 +253,8 @@
   whole @2 :Bool;         # these are all objects of the kind
   objects @3 :List(RelayObject);
   era @4 :UInt64;
+  sinceRevision @5 :UInt64; # after which all changes are included
+  sinceEra @6 :UInt64;
 }
 
 struct EngineCrash {
--- a/wasabimux/relay/forwarding.py
+++ b/wasabimux/relay/forwarding.py
@@ -32,6 +32,9 @@
 #: Name under which offers of the desired state are tracked, beside kinds of objects.
 DESIRED_STATE_OFFER = "desired state offer"
 
+#: Value of an object that the receiver has, in a message with the names of all.
+PRESENT = b""
+
 logger = logging.getLogger("wasabimux.relay")
 
 
@@ -119,9 +122,9 @@
         receiver = self._receiver_by_address.get(address)
         if receiver is None:
             return
-        for kind, changed_revision in self._view.last_change_by_kind.items():
+        for kind in self._view.revision_by_kind:
             known_revision = receiver.revision_by_kind.get(kind, NO_REVISION)
-            if known_revision < changed_revision:
+            if known_revision < self._view.changed_revision(kind):
                 message = self._objects_since(kind, known_revision)
                 link.send(0, message)
                 receiver.revision_by_kind[kind] = self._view.revision_by_kind[kind]
@@ -140,9 +143,9 @@
         """
         receiver = self._receiver_by_address.setdefault(address, _Receiver())
         receiver.revision_by_kind = {item.kind: item.revision for item in revisions}
-        for kind, changed_revision in self._view.last_change_by_kind.items():
+        for kind in self._view.revision_by_kind:
             known_revision = receiver.revision_by_kind.get(kind, NO_REVISION)
-            if known_revision >= changed_revision:
+            if known_revision >= self._view.changed_revision(kind):
                 receiver.lag_by_kind.pop(kind, None)
                 continue
             changed_s = self._view.changed_s_by_kind[kind]
@@ -179,15 +182,16 @@
 
     def apply(self, message: ForwardedObjects, now: float) -> None:
         """Applies objects that a peer has forwarded."""
-        for item in message.objects:
-            platform_object = PlatformObject(
-                item.name, item.revision, _decode(item.name, item.value)
-            )
-            change = ObjectChange(platform_object, item.deleted)
-            self._view.apply_changes(message.kind, [change], item.revision, now)
-        revisions = self._view.revision_by_kind
-        revisions[message.kind] = max(
-            revisions.get(message.kind, NO_REVISION), message.revision
+        changes = [
+            _decode_change(item)
+            for item in message.objects
+            if item.deleted or item.value != PRESENT
+        ]
+        present = None
+        if message.is_snapshot:
+            present = {item.name for item in message.objects if not item.deleted}
+        self._view.apply_forwarded(
+            message.kind, changes, message.since, message.revision, now, present
         )
 
     def apply_offer(self, offer: DesiredStateOffer, now: float) -> None:
@@ -196,16 +200,27 @@
         self._view.offer_desired_state(document, now)
 
     def _objects_since(self, kind: str, revision: StoreRevision) -> ForwardedObjects:
-        """Returns the objects of a kind that have changed after a revision."""
-        objects = [
-            ForwardedObject(
-                name, cached.revision, cached.deleted, self._encode(kind, name, cached)
+        """Returns the objects of a kind that have changed after a revision.
+
+        If removals since then may be unknown, the names of the others are included.
+        """
+        is_snapshot = revision < self._view.listed_revision_by_kind.get(
+            kind, NO_REVISION
+        )
+        objects = []
+        for name, cached in self._view.objects(kind).items():
+            value = PRESENT
+            if cached.revision > revision:
+                value = self._encode(kind, name, cached)
+            elif cached.deleted or not is_snapshot:
+                continue
+            objects.append(
+                ForwardedObject(name, cached.revision, cached.deleted, value)
             )
-            for name, cached in self._view.objects(kind).items()
-            if cached.revision > revision
-        ]
         complete_revision = self._view.revision_by_kind[kind]
-        return ForwardedObjects(kind, complete_revision, False, tuple(objects))
+        return ForwardedObjects(
+            kind, complete_revision, is_snapshot, tuple(objects), since=revision
+        )
 
     def _desired_state_offer(self, version: int) -> DesiredStateOffer:
         """Returns the offer of the desired state in force, the same for all peers."""
@@ -225,6 +240,11 @@
         return encoded.value
 
 
+def _decode_change(item: ForwardedObject) -> ObjectChange:
+    value = _decode(item.name, item.value)
+    return ObjectChange(PlatformObject(item.name, item.revision, value), item.deleted)
+
+
 def _decode(name: str, value: bytes) -> Any:
     """Decodes a peer's document; None, which no reader accepts, if it is unreadable."""
     try:
--- a/wasabimux/relay/view.py
+++ b/wasabimux/relay/view.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Any, NamedTuple
 
 from wasabimux.decisions.route_table import RouteTable
@@ -71,7 +71,9 @@
         era: Era of the newest known revision.
         revision_by_kind: Revision up to which each kind of object is complete.
         last_change_by_kind: Revision of the last known change of each kind of object.
-        changed_s_by_kind: Time in s at which that change became known.
+        listed_revision_by_kind: Revision of the last listing of each kind of object
+            that brought news. Removals before it may be unknown.
+        changed_s_by_kind: Time in s at which the last change or listing was known.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         self.era = 0
         self.revision_by_kind: dict[str, StoreRevision] = {}
         self.last_change_by_kind: dict[str, StoreRevision] = {}
+        self.listed_revision_by_kind: dict[str, StoreRevision] = {}
         self.changed_s_by_kind: dict[str, float] = {}
         self._documents = documents
         self._timeline = timeline
@@ -121,12 +124,10 @@
                 kept, as the entry may only have expired during an outage of the store;
                 None to drop them.
         """
-        listed = {item.name: item for item in objects}
-        changes = [ObjectChange(item, False) for item in listed.values()]
-        for name, known in self.objects(kind).items():
-            if name not in listed and not known.deleted and known.revision <= revision:
-                missing = PlatformObject(name, revision, known.value)
-                changes.append(ObjectChange(missing, True))
+        changes = [ObjectChange(item, False) for item in objects]
+        listed = {change.platform_object.name for change in changes}
+        changes += self._missing(kind, listed, revision)
+        self._on_listed(kind, revision, now)
         self.apply_changes(kind, changes, revision, now, keep_missing_until_s)
 
     def apply_changes(
@@ -141,8 +142,10 @@
 
         Args:
             kind: Kind of the objects.
-            changes: Changes; those older than the cached objects are ignored.
-            revision: Revision of the store up to which the changes are complete.
+            changes: All changes between the revision up to which this view was
+                complete and `revision`, and possibly others. Those older than the
+                cached objects are ignored.
+            revision: Revision of the store up to which the view is complete then.
             now: Current time in s.
             keep_missing_until_s: As for apply_listing.
         """
@@ -172,6 +175,49 @@
             self._on_change(now)
             self._has_untold_change = False
 
+    def apply_forwarded(
+        self,
+        kind: str,
+        changes: Iterable[ObjectChange],
+        since: StoreRevision,
+        revision: StoreRevision,
+        now: float,
+        present: Collection[str] | None = None,
+    ) -> None:
+        """Applies changes of a kind that a peer has forwarded.
+
+        Args:
+            kind: Kind of the objects.
+            changes: All changes after `since` up to `revision`; without the removals
+                that the peer has not heard of, if there may be some.
+            since: Revision after which the changes are included. A view that is not
+                complete up to it lacks others, and is not complete afterwards.
+            revision: Revision up to which they are included.
+            now: Current time in s.
+            present: Names of all objects at `revision` if removals may be missing
+                among the changes, None if not.
+        """
+        known_revision = self.revision_by_kind.get(kind, NO_REVISION)
+        newer = [
+            change
+            for change in changes
+            if change.platform_object.revision > known_revision
+        ]  # an object from before that is not known here was removed since
+        if present is not None and revision > known_revision:
+            newer += self._missing(kind, present, revision)
+        if since > known_revision:
+            revision = known_revision
+        elif present is not None:
+            self._on_listed(kind, revision, now)
+        self.apply_changes(kind, newer, revision, now)
+
+    def changed_revision(self, kind: str) -> StoreRevision:
+        """Returns the revision from which a peer lacks nothing that is known here."""
+        return max(
+            self.last_change_by_kind.get(kind, NO_REVISION),
+            self.listed_revision_by_kind.get(kind, NO_REVISION),
+        )
+
     def offer_desired_state(self, document: Any, now: float) -> None:
         """Applies a desired state that a peer has in force, if its version is higher.
 
@@ -209,6 +255,23 @@
         if expired:
             self._on_change(now)
 
+    def _missing(
+        self, kind: str, present: Collection[str], revision: StoreRevision
+    ) -> list[ObjectChange]:
+        """Returns the removals of known objects that are not there at a revision."""
+        return [
+            ObjectChange(PlatformObject(name, revision, known.value), True)
+            for name, known in self.objects(kind).items()
+            if name not in present and not known.deleted and known.revision <= revision
+        ]
+
+    def _on_listed(self, kind: str, revision: StoreRevision, now: float) -> None:
+        """Notes that removals before a revision may be unknown."""
+        if revision > self.revision_by_kind.get(kind, NO_REVISION):
+            self.listed_revision_by_kind[kind] = revision
+            self.changed_s_by_kind[kind] = now
+            self._has_untold_change = True
+
     def _on_era(self, era: int) -> None:
         if era <= self.era:
             return
