Take the only version seen for a stream's only while in step with others

What callers could see: a relay that was cut off, or stood still, while engines of a new software version joined took up a stream that had begun on these, and went on with it at an engine of the version that it knew (ORDER; from the operators' reports).

Cause: StreamVersions.find took the only version that this relay has seen as that of any stream it does not know, however old its view was. Versions that other relays name in the store were read at the start only.

Change: the only version counts only within 0.3 s of word from the store or of an aggregator that reaches it, on a clock that counts a suspension. Else the relay reads the objects of streams, also for the versions that others name and it has never seen, waits for such word for 1.5 s at most, and refuses (503 version_unavailable, not run).

--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -7,17 +7,19 @@
 import math
 import re
 from collections import defaultdict
-from collections.abc import AsyncGenerator, Mapping
-from typing import NamedTuple
+from collections.abc import AsyncGenerator, Iterator, Mapping
+from typing import Any, NamedTuple
 
+import pytest
 import pytest_asyncio
 
 from tests.relay_fixtures import RelayCluster, relay_cluster
 from wasabimux._clock import loop_time
 from wasabimux.decisions.stream_versions import StreamVersion
 from wasabimux.ids import RequestId, SoftwareVersion, UpstreamId
-from wasabimux.ports import UpstreamLost
+from wasabimux.ports import StoreUnavailable, UpstreamLost
 from wasabimux.relay.model import Phase
+from wasabimux.relay.relay import Relay
 from wasabimux.relay.stream_records import MAX_READ_WAIT_S
 
 EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
@@ -114,6 +116,36 @@
     return BrokenStream(request_id, int(EVENT_ID.findall(data)[-1]))
 
 
+def stores_of(relay: Relay) -> list[Any]:
+    """Returns the clients of the store that a relay watches and reads with."""
+    watchers: list[Any] = relay._watchers
+    records: Any = relay.stream_records
+    return [*(watcher._store for watcher in watchers), records._store]
+
+
+@contextlib.contextmanager
+def cut_off_from_all(relay: Relay) -> Iterator[None]:
+    """Cuts a relay off from the store and from its peers meanwhile."""
+
+    async def unreachable(*args: object, **kwargs: object) -> None:
+        raise StoreUnavailable("cut off")
+
+    with pytest.MonkeyPatch.context() as patch:
+        stores = {id(item): item for item in stores_of(relay)}
+        for store in stores.values():
+            patch.setattr(store, "_call", unreachable)
+        patch.setattr(relay.mesh, "on_message", lambda link, message: None)
+        yield
+
+
+async def begin_and_break(cluster: RelayCluster, request_id: str, relay: int) -> int:
+    """Begins a stream and leaves it; returns the status of the answer."""
+    async with await cluster.request(
+        STREAM_PATH, request_id, relay, wasabimux_token_count="150,50"
+    ) as response:
+        return response.status
+
+
 async def broken_by_a_restart_of_all_relays(
     cluster: RelayCluster, streams: int, age_s: float = SIDE_BY_SIDE_S
 ) -> list[BrokenStream]:
@@ -301,6 +333,32 @@
     assert mixed(two_versions) == []
 
 
+async def test_relay_out_of_step_joins_no_stream_of_a_version_it_never_saw() -> None:
+    """Regression: a relay took the only version it knew for that of any stream."""
+    async with relay_cluster(relays=3) as cluster:
+        await set_versions(cluster, {"dec-1": "v1", "dec-2": "v1", "dec-3": "v1"})
+        await asyncio.sleep(SIDE_BY_SIDE_S)
+        cut_off = cluster.relays[0].relay
+        with cut_off_from_all(cut_off):
+            engine = cluster.runners["dec-3"]
+            engine.software = "v2"
+            await cluster.store.put("servers", engine.id, engine.store_entry())
+            others = [running.relay for running in cluster.relays[1:]]
+            await cluster.wait_until(
+                lambda: all(
+                    relay.pool.by_id[UpstreamId("dec-3")].record.software == "v2"
+                    for relay in others
+                )
+            )
+            for name in ("dec-1", "dec-2"):
+                cluster.runners[name].faults.refuse_reservations = True
+            assert await begin_and_break(cluster, "s1", 1) == 200
+            for name in ("dec-1", "dec-2"):
+                cluster.runners[name].faults.refuse_reservations = False
+            assert await take_up(cluster, BrokenStream("s1", 2), "t1", 0) == 503
+        assert mixed(cluster) == []
+
+
 async def test_relay_that_starts_without_records_in_the_store_takes_streams_up() -> (
     None
 ):
--- a/wasabimux/decisions/stream_versions.py
+++ b/wasabimux/decisions/stream_versions.py
@@ -91,6 +91,8 @@
 
     def __init__(self) -> None:
         self._seen_s_by_version: dict[StreamVersion, float] = {}
+        self._ever_seen: set[StreamVersion] = set()
+        self._named_by_others: frozenset[StreamVersion] = frozenset()
         self._longest_stream_s = MIN_VERSION_MEMORY_S
         self._own = _KnownStreams()
         self._reported = _KnownStreams()
@@ -99,6 +101,14 @@
         """Records the versions that engines in service have."""
         for version in versions:
             self._seen_s_by_version[version] = now
+            self._ever_seen.add(version)
+
+    def on_named_by_others(self, versions: Iterable[StreamVersion]) -> None:
+        """Records the versions that other relays name now.
+
+        Those that this relay has seen itself count for as long as it remembers them.
+        """
+        self._named_by_others = frozenset(versions)
 
     def on_begun(
         self,
@@ -155,15 +165,28 @@
             stream: The request that began the stream, None if the caller names none.
             services: Services that the stream may go on at.
         """
-        if stream is not None:
-            known = self._own.version_of(stream) or self._reported.version_of(stream)
-            if known is not None:
-                return known if known.service in services else None
-        versions = [
-            item for item in self._seen_s_by_version if item.service in services
-        ]
+        if self.is_known(stream):
+            return self.find_known(stream, services)
+        in_service = self.in_service() | self._named_by_others - self._ever_seen
+        versions = [item for item in in_service if item.service in services]
         return versions[0] if len(versions) == 1 else None
 
+    def is_known(self, stream: RequestId | None) -> bool:
+        """Returns whether the version of a stream is remembered."""
+        return self._known_version(stream) is not None
+
+    def find_known(
+        self, stream: RequestId | None, services: Collection[str]
+    ) -> StreamVersion | None:
+        """Returns what is remembered of a stream, None if it may not go on there."""
+        known = self._known_version(stream)
+        return known if known is not None and known.service in services else None
+
+    def _known_version(self, stream: RequestId | None) -> StreamVersion | None:
+        if stream is None:
+            return None
+        return self._own.version_of(stream) or self._reported.version_of(stream)
+
     def version_of(
         self, stream: RequestId | None, service: str
     ) -> SoftwareVersion | None:
--- a/wasabimux/relay/mesh.py
+++ b/wasabimux/relay/mesh.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from wasabimux._clock import loop_time
@@ -30,6 +31,7 @@
     RelayReport,
 )
 from wasabimux.relay.forwarding import ObjectForwarder
+from wasabimux.relay.leader_lease import boot_time_s
 from wasabimux.relay.membership import Membership, Peer
 from wasabimux.relay.view import FleetView
 from wasabimux.timeline import Timeline
@@ -77,6 +79,8 @@
     Attributes:
         membership: The relays found, and their part in aggregation.
         others: Usage of the other relays.
+        informed_s: Time since boot in s of the last report of an aggregator that
+            reaches the store.
         on_linked: Called with each link on which a peer has told who it is.
     """
 
@@ -94,6 +98,7 @@
         timeline: Timeline,
     ) -> None:
         self.others: Usage = NO_USAGE
+        self.informed_s = -math.inf
         self.on_linked: Callable[[Link], None] = lambda link: None
         self._identity = RelayIdentity(address, failure_domain)
         self.membership = Membership(self._identity)
@@ -271,6 +276,8 @@
         peer.store_reachable = report.store_reachable
         if report.scope is not Scope.RELAY:
             peer.aggregated_s = now
+            if report.store_reachable:
+                self.informed_s = boot_time_s()
         for address in message.aggregators:
             self.membership.add_aggregator(address, peer.failure_domain, now)
         has_changed = self._fleet_usage.on_report(
--- a/wasabimux/relay/stream_records.py
+++ b/wasabimux/relay/stream_records.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from pydantic import BaseModel
 
@@ -23,6 +24,7 @@
 from wasabimux.link.messages import VersionsSeen
 from wasabimux.ports import StoreConflict, StoreUnavailable
 from wasabimux.relay.context import RelayRequest
+from wasabimux.relay.leader_lease import boot_time_s
 from wasabimux.relay.mesh import Mesh
 from wasabimux.relay.ports import ObjectStore, PlatformObject
 from wasabimux.relay.upstreams import UpstreamPool
@@ -39,6 +41,15 @@
 #: Longest time in s that a caller waits for such a read.
 MAX_READ_WAIT_S = 1.0
 
+#: Time in s after word of the store for which this relay has missed no version at which
+#: a stream has begun and broken off.
+IN_STEP_S = 0.3
+
+#: Longest time in s that a caller waits for such word, also if the read fails, and the
+#: time between checks. Aggregators that do not lead report once a second.
+MAX_STEP_WAIT_S = 1.5
+STEP_CHECK_S = 0.02
+
 
 class _VersionStreams(BaseModel):
     """A version in service and the streams that it has begun."""
@@ -100,6 +111,7 @@
         self._era = 0
         self._read: asyncio.Task[None] | None = None
         self._read_s = 0.0
+        self._confirmed_s = -math.inf  # as boot_time_s
 
     def __enter__(self) -> StreamRecords:
         return self
@@ -135,17 +147,36 @@
         """Returns the version of a stream that is taken up, None if nobody knows it."""
         stream, services = request.metadata.resumes, request.route.service_names
         self._note_versions()
-        if self._knows_earlier_versions:
+        if self._versions.is_known(stream):
+            return self._versions.find_known(stream, services)
+        if self._is_in_step():
             known = self._versions.find(stream, services)
             if known is not None:
                 return known
+        until_s = loop_time() + MAX_STEP_WAIT_S
         if self._read is None:
             self._read = asyncio.ensure_future(self._read_soon())
         await asyncio.wait({self._read}, timeout=MAX_READ_WAIT_S)
-        if not self._knows_earlier_versions:
-            return None
+        if not self._versions.is_known(stream):
+            if not await self._is_in_step_until(until_s):
+                return None
+        self._note_versions()
         return self._versions.find(stream, services)
 
+    def _is_in_step(self) -> bool:
+        """Returns whether this relay knows the versions that others begin streams at.
+
+        One that was cut off, or stood still, may have missed a version that joined.
+        """
+        heard_s = max(self._confirmed_s, self._mesh.informed_s)
+        return self._knows_earlier_versions and boot_time_s() - heard_s <= IN_STEP_S
+
+    async def _is_in_step_until(self, until_s: float) -> bool:
+        """Waits for word of the store or of a peer that has it, at most until then."""
+        while not self._is_in_step() and loop_time() < until_s:
+            await asyncio.sleep(STEP_CHECK_S)
+        return self._is_in_step()
+
     async def run(self) -> None:
         """Reads the objects once, then writes what has changed until cancelled."""
         while True:
@@ -180,12 +211,14 @@
     async def _load(self) -> None:
         """Reads what all relays have kept."""
         self._read_s = loop_time()
+        asked_s = boot_time_s()
         try:
             listed = await self._store.list(self._kind)
         except StoreUnavailable as error:
             self._timeline.record("stream_records_not_read", error=error)
             return
         is_first, self._has_read = not self._has_read, True
+        named: set[StreamVersion] = set()
         for item in listed.objects:
             checked = check_document(_StreamRecords, item.value)
             if checked.is_error():
@@ -199,12 +232,15 @@
             if is_first:  # versions in service before this start
                 self._versions.on_versions(records.streams_by_version(), now)
             if not is_own:
+                named.update(records.streams_by_version())
                 self._take_over(records, now)
                 continue
             self._revision = item.revision
             if is_first:
                 self._take_over_own(records, now)
+        self._versions.on_named_by_others(named)
         self._knows_earlier_versions = True
+        self._confirmed_s = asked_s
 
     def _take_over_own(self, records: _StreamRecords, now: float) -> None:
         """Takes over the streams that this relay has begun before its start."""
