Take no request in a planned stop that cannot end within the grace

What callers could see: a request that came late in the grace, for instance as its body arrived slowly on a kept connection, was passed on and cut without an answer at the end of the grace, also if it must not be repeated (LOST; from the operators' reports).

Cause: a drain closed the listener and idle connections, but took every request that a connection still brought, with its full deadline, and aborted what was left.

Change: in a drain a request is taken if it can end in time: a call that must run once with all the time that it may take, one that may repeat in its target time, a stream in twice the mean length. Else it is refused before anything runs: 503 draining, ran=no, Retry-After 0.5 s. Deadlines of all requests that have not begun to answer end 0.2 s before the process does, so the caller gets 504 with what is known of the run in place of a closed connection.

--- a/wasabimux/relay/context.py
+++ b/wasabimux/relay/context.py
@@ -47,7 +47,7 @@
     valid_until_s: float
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class RelayRequest:
     """An admitted client request and the state of serving it.
 
@@ -102,6 +102,7 @@
     software: SoftwareVersion | None = None
     trial_of: frozenset[SuspectId] | None = None
     _content_digest: str = ""
+    _timeout: asyncio.Timeout | None = None
 
     @property
     def content_digest(self) -> str:
@@ -186,9 +187,19 @@
             RefusedError: The deadline has passed.
         """
         try:
-            async with asyncio.timeout_at(self.deadline_s):
+            async with asyncio.timeout_at(self.deadline_s) as self._timeout:
                 yield
         except TimeoutError:
             raise self.refusal_error(
                 ErrorCode.DEADLINE, "the request's deadline was exceeded"
             ) from None
+        finally:
+            self._timeout = None
+
+    def end_by(self, latest_s: float) -> None:
+        """Moves the deadline forward if it is later than a time in s."""
+        if latest_s >= self.deadline_s:
+            return
+        self.deadline_s = latest_s
+        if self._timeout is not None and not self._timeout.expired():
+            self._timeout.reschedule(latest_s)
--- a/wasabimux/relay/process.py
+++ b/wasabimux/relay/process.py
@@ -13,6 +13,7 @@
 
 from aioprometheus.collectors import Registry
 
+from wasabimux._clock import loop_time
 from wasabimux.adapters.admin import AdminHandler
 from wasabimux.adapters.http_server import (
     HttpRequest,
@@ -36,6 +37,9 @@
 #: Fraction of the grace time within which running requests may complete.
 GRACE_FRACTION = 0.92
 
+#: Time in s before the end of that time by which the last answers are written.
+ANSWER_MARGIN_S = 0.2
+
 logger = logging.getLogger("wasabimux")
 
 
@@ -107,11 +111,13 @@
 
     async def drain() -> bool:
         timeline.record("draining", grace_s=settings.grace_s)
+        ends_s = loop_time() + settings.grace_s * GRACE_FRACTION
+        relay.begin_shutdown(ends_s - ANSWER_MARGIN_S)
         http_server.begin_drain()
         await relay.mesh.announce_shutdown()
         accept_s = min(ACCEPT_AFTER_TERM_S, settings.grace_s / 3)
         await asyncio.sleep(accept_s)
-        drained = await http_server.drain(settings.grace_s * GRACE_FRACTION - accept_s)
+        drained = await http_server.drain(ends_s - loop_time())
         timeline.record("drained", complete=drained)
         return drained
 
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -19,6 +19,7 @@
 from wasabimux.decisions.aggregation import FleetUsage
 from wasabimux.decisions.retry_window import RetryLimits, ServiceRetryBudgets
 from wasabimux.decisions.shared_bucket import RateTolerance, ReplicatedRateLimiter
+from wasabimux.decisions.shutdown import can_end_in_time
 from wasabimux.decisions.stream_estimates import StreamEstimates
 from wasabimux.decisions.usage_sums import UpstreamLoad, Usage
 from wasabimux.entry.peers import PeerLinks
@@ -74,6 +75,13 @@
 #: Kind label in the metrics of a request that no route was found for.
 UNKNOWN_KIND = "unknown"
 
+#: Delay in s before a request that a relay refuses as it shuts down may be repeated;
+#: load balancers notice the shutdown meanwhile.
+SHUTDOWN_RETRY_AFTER_S = 0.5
+
+#: Length of a long stream, as a multiple of the mean one.
+LONG_STREAM_FACTOR = 2.0
+
 
 logger = logging.getLogger("wasabimux.relay")
 
@@ -175,7 +183,9 @@
         self.selector = UpstreamSelector(self.view, self.pool, failure_domain, rng)
         self.selector.mesh = self.mesh
         self.slot_arbiter = SlotArbiter(self.mesh, self.view, self.selector, timeline)
-        estimates = StreamEstimates()
+        estimates = self._estimates = StreamEstimates()
+        self._active: set[RelayRequest] = set()
+        self._ends_s: float | None = None
         records = self._records = RequestEventRecorder(timeline)
         self.slots = SlotScheduler(
             self.selector,
@@ -345,9 +355,11 @@
         except RefusedError as error:
             self._count_refusal(UNKNOWN_KIND, error.refusal, request.arrived_s)
             raise
-        self.retries.for_service(admitted.service.name).on_request(now)
         kind = admitted.route.request_kind.value
+        self.retries.for_service(admitted.service.name).on_request(now)
+        self._active.add(admitted)
         try:
+            self._check_shutdown(admitted, now)
             response = await self._serve(admitted)
         except RefusedError as error:
             self._count_refusal(kind, error.refusal, request.arrived_s)
@@ -357,9 +369,36 @@
             self._records.record(admitted, "caller_left", age_ms=age_ms)
             raise
         finally:
+            self._active.discard(admitted)
             self._admission.settle(admitted, loop_time())
         return self._count_when_done(response, kind, request.arrived_s)
 
+    def begin_shutdown(self, ends_s: float) -> None:
+        """Lets all answers be complete by a time in s, as the process ends then."""
+        self._ends_s = ends_s
+        for request in self._active:
+            request.end_by(ends_s)
+
+    def _check_shutdown(self, request: RelayRequest, now: float) -> None:
+        """Checks that a request can end before this process does.
+
+        Raises:
+            RefusedError: It may not.
+        """
+        if self._ends_s is None:
+            return
+        expected_s = request.remaining_s(now)
+        if request.service.engine is not None:
+            long_stream_s = LONG_STREAM_FACTOR * self._estimates.mean_stream_s
+            expected_s = min(expected_s, long_stream_s)
+        elif request.route.idempotent:
+            expected_s = min(expected_s, request.route.target_latency_s)
+        if not can_end_in_time(now, self._ends_s, expected_s):
+            raise request.refusal_error(
+                ErrorCode.DRAINING, "this relay shuts down", SHUTDOWN_RETRY_AFTER_S
+            )
+        request.end_by(self._ends_s)
+
     async def _read_body(
         self, request: HttpRequest, metadata: RequestMetadata
     ) -> bytes:
