--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 bench: $(VENV)/.installed
 	$(BIN)/python -m benchmarks.path
+	$(BIN)/python -m benchmarks.pieces
 	$(BIN)/python -m benchmarks.rate
 	$(BIN)/python -m benchmarks.load
 	$(BIN)/python -m benchmarks.domain
--- a/wasabimux/adapters/http_receiver.py
+++ b/wasabimux/adapters/http_receiver.py
@@ -12,6 +12,9 @@
 
 READ_BYTES = 64 * 1024
 
+#: Size in bytes from which a piece is not joined with others.
+LARGE_PIECE_BYTES = 4096
+
 
 class HttpReceiver:
     """Reads the events of one h11 connection.
@@ -34,7 +37,7 @@
         self._next: Any = h11.NEED_DATA  # event or error found behind joined pieces
 
     async def next_event(self) -> Any:
-        """Returns the next event; one with data has all that is at hand.
+        """Returns the next event; one with data has joined small pieces at hand.
 
         Raises:
             OSError: The connection was lost.
@@ -60,8 +63,9 @@
         if event is h11.NEED_DATA:
             event = self._http.next_event()
         pieces = [event.data] if isinstance(event, h11.Data) else []
-        if pieces:
+        if pieces and len(pieces[0]) < LARGE_PIECE_BYTES:
             self._take_pieces(pieces)
+        if len(pieces) > 1:
             event = h11.Data(data=b"".join(pieces))
         size = sum(map(len, pieces))
         self._turn.add(max(1, len(pieces)), size, loop_time() - started_s)
