--- a/wasabimux/adapters/http_receiver.py
+++ b/wasabimux/adapters/http_receiver.py
@@ -7,7 +7,6 @@
 
 import h11
 
-from wasabimux._clock import loop_time
 from wasabimux.adapters.turns import Turn
 
 READ_BYTES = 64 * 1024
@@ -34,6 +33,7 @@
         self._http = http
         self._reader = reader
         self._turn = turn
+        self._time = asyncio.get_running_loop().time
         self._next: Any = h11.NEED_DATA  # event or error found behind joined pieces
 
     async def next_event(self) -> Any:
@@ -44,7 +44,8 @@
             h11.RemoteProtocolError: The peer has broken the protocol.
         """
         while True:
-            await self._turn.hand_over()
+            if self._turn.is_over:
+                await self._turn.hand_over()
             event = self.event_at_hand()
             if event is not h11.NEED_DATA:
                 return event
@@ -56,19 +57,21 @@
         Raises:
             h11.RemoteProtocolError: The peer has broken the protocol.
         """
-        started_s = loop_time()
+        started_s = self._time()
         event, self._next = self._next, h11.NEED_DATA
         if isinstance(event, h11.RemoteProtocolError):
             raise event
         if event is h11.NEED_DATA:
             event = self._http.next_event()
+        if event is h11.NEED_DATA:
+            return event
         pieces = [event.data] if isinstance(event, h11.Data) else []
-        if pieces and len(pieces[0]) < LARGE_PIECE_BYTES:
+        if pieces and len(event.data) < LARGE_PIECE_BYTES:
             self._take_pieces(pieces)
         if len(pieces) > 1:
             event = h11.Data(data=b"".join(pieces))
-        size = sum(map(len, pieces))
-        self._turn.add(max(1, len(pieces)), size, loop_time() - started_s)
+        size = len(event.data) if pieces else 0
+        self._turn.add(max(1, len(pieces)), size, self._time() - started_s)
         return event
 
     def _take_pieces(self, pieces: list[bytes]) -> None:
--- a/wasabimux/adapters/turns.py
+++ b/wasabimux/adapters/turns.py
@@ -63,7 +63,7 @@
     @property
     def is_over(self) -> bool:
         """True once other connections are to get their turn."""
-        return self.pieces_left <= 0
+        return self._pieces >= MAX_PIECES_PER_TURN
 
     @property
     def pieces_left(self) -> int:
