Use no kept connection to the store after one that timed out

Cause: a call that timed out closed its own connection only. The other kept ones were as silent and were tried in turn, with a time-out each.

Change: a time-out closes all kept connections of the client, so the next call opens a new one.

--- a/tests/test_relay_platform.py
+++ b/tests/test_relay_platform.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+
 import pytest
 
 from tests.relay_fixtures import desired_state
@@ -163,3 +166,57 @@
             store.available = False
             with pytest.raises(StoreUnavailable):
                 await client.list("kind")
+
+
+class SilencingProxy:
+    """A proxy before the store whose open connections go silent when told so.
+
+    Attributes:
+        opened: Number of connections so far.
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        self.opened = 0
+        self._target = (host, port)
+        self._pumps: list[asyncio.Task[None]] = []
+
+    def silence(self) -> None:
+        """Passes nothing on any more on the connections that are open."""
+        for pump in self._pumps:
+            pump.cancel()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Passes a connection on to the store, both ways."""
+        self.opened += 1
+        store_reader, store_writer = await asyncio.open_connection(*self._target)
+        for source, target in ((reader, store_writer), (store_reader, writer)):
+            self._pumps.append(asyncio.ensure_future(pump(source, target)))
+
+
+async def pump(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Copies bytes until the source ends."""
+    with contextlib.suppress(OSError):
+        while data := await reader.read(65536):
+            writer.write(data)
+    writer.close()
+
+
+async def test_calls_after_one_that_timed_out_use_no_connection_from_before() -> None:
+    """Regression: silent kept connections were tried in turn, a time-out each."""
+    async with StandInStore() as store:
+        proxy = SilencingProxy(*parse_address(await store.listen()))
+        server = await asyncio.start_server(proxy.serve, "127.0.0.1", 0)
+        async with (
+            server,
+            PlatformStoreClient(*server.sockets[0].getsockname()) as client,
+        ):
+            await asyncio.gather(*(client.list("kind") for _ in range(4)))
+            assert proxy.opened == 4
+            proxy.silence()
+            with pytest.raises(StoreUnavailable):
+                await client.list("kind")
+            await client.list("kind")
+            assert proxy.opened == 5
+            proxy.silence()
--- a/wasabimux/platform/store.py
+++ b/wasabimux/platform/store.py
@@ -181,6 +181,8 @@
                 async with response:
                     body_bytes = await response.body()
         except (UpstreamLost, TimeoutError) as error:
+            if isinstance(error, TimeoutError):
+                self._http.close()  # its other connections may be as silent
             self.on_call(method, "lost")
             raise StoreUnavailable(f"{method}: {error or 'no response'}") from error
         self.on_call(method, f"status_{response.status}")
