--- a/tests/test_relay_platform.py
+++ b/tests/test_relay_platform.py
@@ -179,6 +179,15 @@
         self.opened = 0
         self._target = (host, port)
         self._pumps: list[asyncio.Task[None]] = []
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def __aenter__(self) -> SilencingProxy:
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self.silence()
+        for writer in self._writers:
+            writer.transport.abort()
 
     def silence(self) -> None:
         """Passes nothing on any more on the connections that are open."""
@@ -191,6 +200,7 @@
         """Passes a connection on to the store, both ways."""
         self.opened += 1
         store_reader, store_writer = await asyncio.open_connection(*self._target)
+        self._writers += [writer, store_writer]
         for source, target in ((reader, store_writer), (store_reader, writer)):
             self._pumps.append(asyncio.ensure_future(pump(source, target)))
 
@@ -205,18 +215,18 @@
 
 async def test_calls_after_one_that_timed_out_use_no_connection_from_before() -> None:
     """Regression: silent kept connections were tried in turn, a time-out each."""
-    async with StandInStore() as store:
-        proxy = SilencingProxy(*parse_address(await store.listen()))
+    async with contextlib.AsyncExitStack() as stack:
+        store = await stack.enter_async_context(StandInStore())
+        address = parse_address(await store.listen())
+        proxy = await stack.enter_async_context(SilencingProxy(*address))
         server = await asyncio.start_server(proxy.serve, "127.0.0.1", 0)
-        async with (
-            server,
-            PlatformStoreClient(*server.sockets[0].getsockname()) as client,
-        ):
-            await asyncio.gather(*(client.list("kind") for _ in range(4)))
-            assert proxy.opened == 4
-            proxy.silence()
-            with pytest.raises(StoreUnavailable):
-                await client.list("kind")
+        await stack.enter_async_context(server)
+        client = PlatformStoreClient(*server.sockets[0].getsockname())
+        await stack.enter_async_context(client)
+        await asyncio.gather(*(client.list("kind") for _ in range(4)))
+        assert proxy.opened == 4
+        proxy.silence()
+        with pytest.raises(StoreUnavailable):
             await client.list("kind")
-            assert proxy.opened == 5
-            proxy.silence()
+        await client.list("kind")
+        assert proxy.opened == 5
