Keep the charges of a workspace that has lost its last key

Cause: relays list workspaces by their keys, and dropped the replica of one without keys with all its charges.

Change: a replica is dropped only once it counts no charges and its bucket is at least at the level of a new one.

--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -130,6 +130,24 @@
     assert charged <= within * (1 + TOLERANT.overage_share) + TOLERANT.slack_tokens
 
 
+def test_workspace_without_keys_for_a_moment_keeps_its_charges() -> None:
+    """Regression: a workspace that lost its last key came back with its full share."""
+    rules = RateLimit(66_591.0, 66_591.0)
+    buckets = ReplicatedRateLimiter(TOLERANT)
+    charged = 0.0
+    for step in range(120):
+        now = step * 0.05
+        if step % 10 == 0:
+            buckets.retain_workspaces(set(), now)  # its last key is gone for a moment
+        if reserve_and_run(buckets, rules, 8_000.0, now):
+            charged += 8_000.0
+    within = rules.rate * TOLERANT.window_s + rules.burst
+    assert charged <= within * (1 + TOLERANT.overage_share) + TOLERANT.slack_tokens
+    later_s = 6.0 + 2 * TOLERANT.window_s
+    buckets.retain_workspaces(set(), later_s)
+    assert buckets.local_usage(later_s) == {}
+
+
 def test_tokens_of_requests_that_did_not_run_are_refunded() -> None:
     rules = RateLimit(100.0, 1_000.0)
     buckets = ReplicatedRateLimiter(STRICT)
--- a/wasabimux/decisions/shared_bucket.py
+++ b/wasabimux/decisions/shared_bucket.py
@@ -141,6 +141,8 @@
     def sum(self, window_s: float, now: float) -> float:
         while self._bins and self._bins[0][0] <= now - window_s - BIN_WIDTH_S:
             self._sum -= self._bins.popleft()[1]
+        if not self._bins:
+            self._sum = 0.0  # without what rounding has left
         return self._sum
 
 
@@ -402,10 +404,21 @@
         level = replica.level - charged - reserved
         replica.level = max(-limit.burst, min(limit.burst, level))
 
-    def retain_workspaces(self, workspaces: set[str]) -> None:
-        """Drops the replicas of workspaces that no longer exist."""
+    def retain_workspaces(self, workspaces: set[str], now: float) -> None:
+        """Drops the replicas of workspaces that no longer exist.
+
+        Those that still count charges are kept, as a workspace may come back.
+        """
         for workspace in set(self._replica_by_workspace) - workspaces:
-            del self._replica_by_workspace[workspace]
+            if self._has_run_out(self._replica_by_workspace[workspace], now):
+                del self._replica_by_workspace[workspace]
+
+    def _has_run_out(self, replica: _Replica, now: float) -> bool:
+        """Returns whether a new replica would allow no more than this one."""
+        self._refill(replica, now)
+        initial_level = replica.limit.burst * INITIAL_LEVEL_FRACTION
+        is_used = replica.used(self._counted_s, now) > 0
+        return not is_used and replica.level >= initial_level
 
     def _replica(self, workspace: str, limit: RateLimit, now: float) -> _Replica:
         replica = self._replica_by_workspace.get(workspace)
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -478,7 +478,7 @@
         if desired is not None:
             workspaces = desired.workspace_by_key.values()
             self._limits_by_workspace = {item.id: item for item in workspaces}
-            self._buckets.retain_workspaces(set(self._limits_by_workspace))
+            self._buckets.retain_workspaces(set(self._limits_by_workspace), now)
             if self.http_server is not None:
                 self.http_server.limits = self.http_server.limits._replace(
                     max_body_bytes=desired.limits.max_body_bytes,
