--- a/tests/test_relay_duty.py
+++ b/tests/test_relay_duty.py
@@ -8,6 +8,7 @@
 
 import pytest_asyncio
 
+from wasabimux._clock import boot_time_s
 from wasabimux.platform.standins.store import StandInStore
 from wasabimux.platform.store import PlatformStoreClient
 from wasabimux.relay.leader_lease import (
@@ -15,7 +16,6 @@
     STORE_FAILURE_WINDOW_S,
     TAKEOVER_WAIT_LEASES,
     LeaderLease,
-    boot_time_s,
 )
 from wasabimux.settings.address import parse_address
 from wasabimux.timeline import Timeline
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -10,12 +10,13 @@
 import pytest_asyncio
 
 from tests.relay_fixtures import API_KEY, RelayCluster, desired_state, relay_cluster
+from wasabimux._clock import boot_time_s
 from wasabimux.ids import FailureDomainId, StoreRevision, UpstreamId
 from wasabimux.platform.documents import PlatformDocumentDecoder
 from wasabimux.platform.standins.store import StandInStore
 from wasabimux.platform.store import PlatformStoreClient
 from wasabimux.ports import StoreConflict, StoreUnavailable
-from wasabimux.relay.leader_lease import LeaderLease, boot_time_s, fencing_token_of
+from wasabimux.relay.leader_lease import LeaderLease, fencing_token_of
 from wasabimux.relay.ports import HistoryLost, ObjectChange, PlatformObject
 from wasabimux.relay.view import REWRITE_GRACE_S, FleetView
 from wasabimux.settings.address import parse_address
--- a/wasabimux/relay/leader_lease.py
+++ b/wasabimux/relay/leader_lease.py
@@ -15,9 +15,9 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 
+from wasabimux._clock import boot_time_s
 from wasabimux.ids import NO_REVISION, StoreRevision
 from wasabimux.ports import StoreConflict, StoreUnavailable
 from wasabimux.relay.ports import ObjectStore, PlatformObject
@@ -45,11 +45,6 @@
     return (revision.era << REVISION_BITS) + revision.number
 
 
-def boot_time_s() -> float:
-    """Returns the time since boot in s; it also advances during system suspend."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class LeaderLease:
     """The lease that lets one relay at a time perform a task.
 
--- a/wasabimux/relay/mesh.py
+++ b/wasabimux/relay/mesh.py
@@ -10,7 +10,7 @@
 import math
 from collections.abc import Callable
 
-from wasabimux._clock import loop_time
+from wasabimux._clock import boot_time_s, loop_time
 from wasabimux.decisions.aggregation import (
     FleetUsage,
     RelayCounts,
@@ -31,7 +31,6 @@
     RelayReport,
 )
 from wasabimux.relay.forwarding import ObjectForwarder
-from wasabimux.relay.leader_lease import boot_time_s
 from wasabimux.relay.membership import Membership, Peer
 from wasabimux.relay.view import FleetView
 from wasabimux.timeline import Timeline
--- a/wasabimux/relay/phases.py
+++ b/wasabimux/relay/phases.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from wasabimux._clock import loop_time
+from wasabimux._clock import boot_time_s, loop_time
 from wasabimux.decisions.phase_plan import (
     EngineAssignment,
     PhaseChange,
@@ -13,7 +13,7 @@
 from wasabimux.decisions.placement import rendezvous_top
 from wasabimux.decisions.stream_estimates import StreamEstimates
 from wasabimux.ports import UpstreamLost
-from wasabimux.relay.leader_lease import LeaderLease, boot_time_s
+from wasabimux.relay.leader_lease import LeaderLease
 from wasabimux.relay.mesh import Mesh
 from wasabimux.relay.model import Phase, ServiceProfile
 from wasabimux.relay.placing import UpstreamSelector
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -23,7 +23,7 @@
 from wasabimux.decisions.stream_estimates import StreamEstimates
 from wasabimux.decisions.usage_sums import UpstreamLoad, Usage
 from wasabimux.entry.peers import PeerLinks
-from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError
+from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError, refused
 from wasabimux.ids import FailureDomainId, RequestId, WorkspaceId, new_incarnation
 from wasabimux.link.channels import connect_tcp
 from wasabimux.link.link import Link, LinkTraffic
@@ -416,9 +416,9 @@
             raise
         except TimeoutError:
             text = "the request's body did not arrive before its deadline"
-            refusal = RefusedError(Refusal(ErrorCode.DEADLINE, text))
-            refusal.request_id = metadata.id
-            raise refusal from None
+            late = refused(ErrorCode.DEADLINE, text)
+            late.request_id = metadata.id
+            raise late from None
 
     def _count_when_done(
         self, response: HttpResponse, kind: str, arrived_s: float
--- a/wasabimux/relay/stream_records.py
+++ b/wasabimux/relay/stream_records.py
@@ -13,7 +13,7 @@
 
 from pydantic import BaseModel
 
-from wasabimux._clock import loop_time
+from wasabimux._clock import boot_time_s, loop_time
 from wasabimux.decisions.stream_versions import (
     MIN_VERSION_MEMORY_S,
     StreamVersion,
@@ -24,7 +24,6 @@
 from wasabimux.link.messages import VersionsSeen
 from wasabimux.ports import StoreConflict, StoreUnavailable
 from wasabimux.relay.context import RelayRequest
-from wasabimux.relay.leader_lease import boot_time_s
 from wasabimux.relay.mesh import Mesh
 from wasabimux.relay.ports import ObjectStore, PlatformObject
 from wasabimux.relay.upstreams import UpstreamPool
