--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -333,7 +333,9 @@
     assert mixed(two_versions) == []
 
 
-async def test_relay_that_was_cut_off_joins_no_stream_of_a_version_it_never_saw() -> None:
+async def test_relay_that_was_cut_off_joins_no_stream_of_a_version_it_never_saw() -> (
+    None
+):
     """Regression: a relay took the only version it knew for that of any stream."""
     async with relay_cluster(relays=3) as cluster:
         await set_versions(cluster, {"dec-1": "v1", "dec-2": "v1", "dec-3": "v1"})
