Spare calls for each event of a stream that is read

Looking for pieces behind the first one told already that nothing more is at hand; it was asked again before the next read.

--- a/wasabimux/adapters/http_receiver.py
+++ b/wasabimux/adapters/http_receiver.py
@@ -34,7 +34,7 @@
         self._reader = reader
         self._turn = turn
         self._time = asyncio.get_running_loop().time
-        self._next: Any = h11.NEED_DATA  # event or error found behind joined pieces
+        self._next: Any = None  # what was found behind joined pieces
 
     async def next_event(self) -> Any:
         """Returns the next event; one with data has joined small pieces at hand.
@@ -46,9 +46,11 @@
         while True:
             if self._turn.is_over:
                 await self._turn.hand_over()
-            event = self.event_at_hand()
-            if event is not h11.NEED_DATA:
-                return event
+            if self._next is not h11.NEED_DATA:
+                event = self.event_at_hand()
+                if event is not h11.NEED_DATA:
+                    return event
+            self._next = None
             self._http.receive_data(await self._reader.read(READ_BYTES))
 
     def event_at_hand(self) -> Any:
@@ -57,33 +59,41 @@
         Raises:
             h11.RemoteProtocolError: The peer has broken the protocol.
         """
-        started_s = self._time()
-        event, self._next = self._next, h11.NEED_DATA
+        event, self._next = self._next, None
         if isinstance(event, h11.RemoteProtocolError):
             raise event
-        if event is h11.NEED_DATA:
+        started_s = self._time()
+        if event is None:
             event = self._http.next_event()
-        if event is h11.NEED_DATA:
-            return event
-        pieces = [event.data] if isinstance(event, h11.Data) else []
-        if pieces and len(event.data) < LARGE_PIECE_BYTES:
+        if isinstance(event, h11.Data):
+            return self._join_pieces(event, started_s)
+        if event is not h11.NEED_DATA:
+            self._turn.add(1, 0, self._time() - started_s)
+        return event
+
+    def _join_pieces(self, first: h11.Data, started_s: float) -> h11.Data:
+        """Returns data joined with small pieces at hand, as many as the turn allows.
+
+        Args:
+            first: The first piece.
+            started_s: Loop time in s at which its parsing began.
+        """
+        pieces = [first.data]
+        if len(first.data) < LARGE_PIECE_BYTES:
             self._take_pieces(pieces)
         if len(pieces) > 1:
-            event = h11.Data(data=b"".join(pieces))
-        size = len(event.data) if pieces else 0
-        self._turn.add(max(1, len(pieces)), size, self._time() - started_s)
-        return event
+            first = h11.Data(data=b"".join(pieces))
+        self._turn.add(len(pieces), len(first.data), self._time() - started_s)
+        return first
 
     def _take_pieces(self, pieces: list[bytes]) -> None:
         """Takes further pieces that are at hand, as many as the turn allows."""
-        room = self._turn.pieces_left
-        while len(pieces) < room:
+        while len(pieces) < self._turn.pieces_left:
             try:
-                event = self._http.next_event()
+                self._next = self._http.next_event()
             except h11.RemoteProtocolError as error:
                 self._next = error
+            if not isinstance(self._next, h11.Data):
                 return
-            if not isinstance(event, h11.Data):
-                self._next = event
-                return
-            pieces.append(event.data)
+            pieces.append(self._next.data)
+        self._next = None
