--- a/tests/test_complete_revisions.py
+++ b/tests/test_complete_revisions.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.slow_link import SlowLink
-from wasabimux.ids import FailureDomainId, StoreRevision
+from wasabimux.ids import FailureDomainId, StoreRevision, UpstreamId
 from wasabimux.link.messages import ForwardedObject, ForwardedObjects, KindRevision
 from wasabimux.platform.documents import PlatformDocumentDecoder
 from wasabimux.platform.objects import date_removals
@@ -18,6 +18,17 @@
 
 KIND = "evacuations"
 
+SERVER = {
+    "service": "desk",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "state": "ready",
+    "version": "v1",
+    "slots": 1,
+    "coldRemainingMs": 0,
+    "sequence": 1,
+}
+
 
 def revision(number: int) -> StoreRevision:
     """Returns a revision of the store's first history."""
@@ -103,3 +114,23 @@
     late = (forwarded(change("zone-a", 5)),)
     ObjectForwarder(view).apply(ForwardedObjects(KIND, revision(5), False, late), 1.0)
     assert not view.evacuated_domains
+
+
+def test_entry_that_lapsed_in_an_outage_is_kept_by_relays_that_hear_of_it(
+    view: FleetView,
+) -> None:
+    """Relays that do not watch the store drop it at once, before it can come back."""
+    link: Any = SlowLink()
+    listing = FleetView(PlatformDocumentDecoder(), Timeline("test"), lambda now: None)
+    entry = ObjectChange(PlatformObject("desk-1", revision(5), SERVER), False)
+    for known in (view, listing):
+        known.apply_changes("servers", [entry], revision(5), 0.0)
+    forwarder = ObjectForwarder(listing)
+    peer_has = [KindRevision("servers", revision(5))]
+    forwarder.on_peer_revisions("10.0.0.2:1", link, peer_has, 0.0)
+    listing.apply_listing("servers", [], revision(9), 10.0, keep_missing_until_s=12.2)
+    forwarder.push("10.0.0.2:1", link, 10.0)
+    for message in link.sent:
+        ObjectForwarder(view).apply(message, 10.0)
+    assert UpstreamId("desk-1") in listing.upstream_by_id
+    assert UpstreamId("desk-1") in view.upstream_by_id
--- a/tests/test_small_pieces.py
+++ b/tests/test_small_pieces.py
@@ -19,10 +19,14 @@
     BacklogShare,
     is_backlogged,
 )
+from wasabimux.link.codec import encode_frame
+from wasabimux.link.link import Link, LinkCallbacks
+from wasabimux.link.messages import FrameItem, Hello, RelayLeaving
 from wasabimux.ports import UpstreamLost
 from wasabimux.relay._events import MAX_EVENT_BYTES, SseSplitter
+from wasabimux.timeline import HybridClock
 
-#: Most pieces that may be parsed before other tasks of the process run.
+#: Most pieces that may be handled before other tasks of the process run.
 MAX_PARSED_IN_A_ROW = 300
 
 #: Pieces of a body that has an end.
@@ -247,3 +251,43 @@
     assert not is_backlogged(pieces, pieces * 40, 1.01 * pieces / FREE_PIECES_PER_S)
     assert not is_backlogged(pieces, pieces * 1400, 0.0)
     assert is_backlogged(pieces, pieces * 40, 0.001)
+
+
+class FullChannel:
+    """A channel on which frames are at hand at once, and then its end.
+
+    Args:
+        frames: The frames.
+    """
+
+    def __init__(self, frames: list[bytes]) -> None:
+        self._frames = frames
+
+    async def send(self, frame: bytes) -> None:
+        """Drops a frame."""
+
+    async def receive(self) -> bytes | None:
+        """Returns the next frame, None at the end."""
+        return self._frames.pop(0) if self._frames else None
+
+    def close(self) -> None:
+        """Does nothing."""
+
+    def peer_has_role(self, role: str) -> bool:
+        """Returns True."""
+        return True
+
+
+async def test_frames_of_a_link_do_not_hold_other_connections() -> None:
+    """Regression: a peer's frames were handled without end while they were at hand."""
+    meter, clock = ParsingMeter(), HybridClock()
+    frames = [encode_frame(1, [FrameItem(0, RelayLeaving())]) for _ in range(PIECES)]
+    callbacks = LinkCallbacks(on_control=lambda link, message: meter.on_event())
+    hello = Hello("relay", "relay-1", 1)
+    with Link(FullChannel(frames), hello, clock, callbacks, initiator=True) as link:
+        async with metered(meter):
+            await asyncio.sleep(0)
+            link.start()
+            await link.closed.wait()
+    assert not frames
+    assert 0 < meter.longest <= MAX_PARSED_IN_A_ROW
