Count the charges of relays that have ended until they leave the window

Cause: a relay knows what the others charged only as one sum.

Change: aggregators keep, in bins, what each relay of their failure domain charged, and count it in the domain's sum after the relay has ended; a relay that starts to aggregate gets it from the other aggregator. A receiver that finds a sum lower than charges which cannot have expired keeps the difference apart. Demand is measured over 0.5 s, as the average over 1 s lagged behind a burst that rose to 900,000 tokens/s.

--- a/wasabimux/decisions/aggregation.py
+++ b/wasabimux/decisions/aggregation.py
@@ -10,10 +10,15 @@
 
 from collections import deque
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
 
+from wasabimux.decisions.ended_charges import (
+    EndedCharge,
+    EndedCharges,
+    MemberCharges,
+)
 from wasabimux.decisions.memory_forecast import ZERO_FORECAST
 from wasabimux.decisions.placement import rendezvous_top
 from wasabimux.decisions.usage_sums import NO_USAGE, Usage, subtract_usage, sum_usage
@@ -26,7 +31,7 @@
 SILENT_AFTER_S = 1.6
 
 #: Time in s for which the reported usage of a silent relay still counts, about as long
-#: as a stream runs on after its relay was lost.
+#: as a stream runs on after its relay was lost. Its charges count for their window.
 USAGE_KEPT_S = 5.0
 
 #: Time in s without a report after which a relay counts as gone rather than silent.
@@ -108,6 +113,23 @@
         return self.report.usage if now - self.heard_s <= USAGE_KEPT_S else NO_USAGE
 
 
+@dataclass(slots=True)
+class _Member(_Heard):
+    """The last report of a relay of the own failure domain.
+
+    Attributes:
+        charges: When it charged its tokens.
+    """
+
+    charges: MemberCharges = field(default_factory=lambda: MemberCharges(0.0))
+
+    def usage(self, now: float) -> Usage:
+        """Returns the usage, only the charges after the relay was silent for long."""
+        if now - self.heard_s <= USAGE_KEPT_S:
+            return self.report.usage
+        return Usage(self.charges.buckets(now))
+
+
 class RelayCounts(NamedTuple):
     """Numbers of relays.
 
@@ -125,11 +147,15 @@
 
     Args:
         domain: Failure domain of the relay.
+        charges_window_s: Time in s for which the charges of a relay count after it has
+            ended.
     """
 
-    def __init__(self, domain: str) -> None:
+    def __init__(self, domain: str, charges_window_s: float = 0.0) -> None:
         self._domain = domain
-        self._member_by_address: dict[str, _Heard] = {}
+        self._charges_window_s = charges_window_s
+        self._member_by_address: dict[str, _Member] = {}
+        self._ended = EndedCharges(charges_window_s)
         self._sources_by_domain: dict[str, dict[str, _Heard]] = {}
         self._fleet_by_address: dict[str, _Heard] = {}
         self._own_reports: deque[tuple[int, Usage]] = deque(maxlen=MAX_KEPT_REPORTS)
@@ -177,11 +203,21 @@
             sources.pop(address, None)
         self._fleet_by_address.pop(address, None)
 
-    def forget(self, address: str) -> None:
-        """Drops what a relay that is gone has reported."""
-        self._member_by_address.pop(address, None)
+    def forget(self, address: str, now: float) -> None:
+        """Drops what a relay that is gone has reported, except its charges."""
+        member = self._member_by_address.pop(address, None)
+        if member is not None:
+            self._on_ended(member, now)
         self._fleet_by_address.pop(address, None)
 
+    def ended_charges(self, now: float) -> list[EndedCharge]:
+        """Returns the charges of ended relays, for another aggregator of the domain."""
+        return self._ended.charges(now)
+
+    def on_ended_charges(self, charges: Iterable[EndedCharge], now: float) -> None:
+        """Takes over what another aggregator knows of relays that have ended."""
+        self._ended.merge(charges, now)
+
     def heard_members(self, now: float) -> list[str]:
         """Returns the relays that report to this one and are not silent."""
         return [
@@ -279,12 +315,23 @@
         self, address: str, incarnation: int, report: UsageReport, now: float
     ) -> _Heard | None:
         before = self._member_by_address.get(address)
-        is_leaving = (
-            before is not None and before.leaving and before.incarnation == incarnation
+        charges, is_leaving = MemberCharges(self._charges_window_s), False
+        if before is not None and before.incarnation == incarnation:
+            charges, is_leaving = before.charges, before.leaving
+        elif before is not None:
+            self._on_ended(before, now)
+        charges.on_report(report.usage.bucket_by_workspace, now)
+        self._member_by_address[address] = _Member(
+            incarnation, report, now, is_leaving, charges
         )
-        self._member_by_address[address] = _Heard(incarnation, report, now, is_leaving)
         return before
 
+    def _on_ended(self, member: _Member, now: float) -> None:
+        if self._charges_window_s > 0:
+            buckets = member.report.usage.bucket_by_workspace
+            member.charges.end(buckets, member.heard_s)
+            self._ended.add(member.charges.charges(now), now)
+
     def _without_own(self, report: UsageReport) -> Usage:
         """Returns a sum without the part that this relay itself has reported."""
         own = NO_USAGE
@@ -295,9 +342,10 @@
         return subtract_usage(report.usage, own)
 
     def _members_usage(self, now: float) -> Usage:
-        """Returns the usage of the other relays of this domain."""
+        """Returns the usage of the other relays of this domain, ended ones included."""
         members = self._member_by_address.values()
-        return sum_usage(member.usage(now) for member in members)
+        usages = [member.usage(now) for member in members]
+        return sum_usage([*usages, Usage(self._ended.buckets(now))])
 
     def _other_domains_usage(self, now: float) -> Usage:
         """Returns the usage of the other failure domains."""
--- a/wasabimux/decisions/shared_bucket.py
+++ b/wasabimux/decisions/shared_bucket.py
@@ -14,10 +14,10 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from wasabimux.decisions.charge_window import ChargeWindow, ReportedCharges
 from wasabimux.decisions.rate import RateLimit
 from wasabimux.ids import RequestId
 
@@ -28,11 +28,9 @@
 START_TOLERANCE_FRACTION = 0.4
 
 #: Time in s over which the demand of a workspace is measured. What relays admit before
-#: they hear of each other's admissions is at most what is asked of them meanwhile.
-DEMAND_PERIOD_S = 1.0
-
-#: Width in s of the bins that a window's sum is kept in.
-BIN_WIDTH_S = 0.2
+#: they hear of each other's admissions is at most what is asked of them meanwhile, and
+#: an average over a longer time lags behind a demand that rises.
+DEMAND_PERIOD_S = 0.5
 
 #: Interval in s between the charges that are assumed before a start, and the number of
 #: intervals right before it without any, as a start takes longer than these.
@@ -121,31 +119,6 @@
     beyond_share: bool = False
 
 
-class _Window:
-    """Sliding-window sum of tokens, kept in bins of BIN_WIDTH_S."""
-
-    __slots__ = ("_bins", "_sum")
-
-    def __init__(self) -> None:
-        self._bins: deque[tuple[float, float]] = deque()
-        self._sum = 0.0
-
-    def add(self, tokens: float, now: float) -> None:
-        if self._bins and now - self._bins[-1][0] < BIN_WIDTH_S:
-            start_s, bin_tokens = self._bins.pop()
-            self._bins.append((start_s, bin_tokens + tokens))
-        else:
-            self._bins.append((now, tokens))
-        self._sum += tokens
-
-    def sum(self, window_s: float, now: float) -> float:
-        while self._bins and self._bins[0][0] <= now - window_s - BIN_WIDTH_S:
-            self._sum -= self._bins.popleft()[1]
-        if not self._bins:
-            self._sum = 0.0  # without what rounding has left
-        return self._sum
-
-
 class _ReturningStream(NamedTuple):
     """Tokens of a stream, and the time in s until which room is kept for it."""
 
@@ -186,18 +159,18 @@
     refilled_s: float
     own_reserved: float = 0.0
     others_reserved: float = 0.0
-    own_window: _Window = field(default_factory=_Window)
-    others_window: _Window = field(default_factory=_Window)
-    assumed_window: _Window = field(default_factory=_Window)
-    asked_window: _Window = field(default_factory=_Window)
+    own_window: ChargeWindow = field(default_factory=ChargeWindow)
+    others_window: ReportedCharges = field(default_factory=ReportedCharges)
+    assumed_window: ChargeWindow = field(default_factory=ChargeWindow)
+    asked_window: ChargeWindow = field(default_factory=ChargeWindow)
     others_asked: float = 0.0
     returning: _ReturningStreams = field(default_factory=_ReturningStreams)
     others_returning: float = 0.0
 
     def used(self, window_s: float, now: float) -> float:
         """Returns the tokens known as reserved, and as charged in a window."""
-        windows = (self.own_window, self.others_window)
-        charged = sum(window.sum(window_s, now) for window in windows)
+        charged = self.own_window.sum(window_s, now)
+        charged += self.others_window.sum(window_s, now)
         return charged + self.own_reserved + self.others_reserved
 
 
@@ -322,9 +295,9 @@
             now: Current time in s.
         """
         allowed = self._tolerance.window_limit(replica.limit, fraction)
-        allowed -= replica.assumed_window.sum(self._counted_s, now)
+        allowed -= replica.assumed_window.sum(self.counted_s, now)
         allowed *= 1.0 - self._silent_share
-        used = replica.used(self._counted_s, now) + self._unreported(replica, now)
+        used = replica.used(self.counted_s, now) + self._unreported(replica, now)
         return used + tokens - allowed
 
     def _wait_for_room(self, replica: _Replica, missing: float, now: float) -> float:
@@ -357,7 +330,7 @@
         return min(unreported, with_tolerance - without_tolerance)
 
     @property
-    def _counted_s(self) -> float:
+    def counted_s(self) -> float:
         """Time in s for which a charge counts."""
         return self._tolerance.window_s + UPSTREAM_COUNT_DELAY_S
 
@@ -370,7 +343,7 @@
         """Returns this relay's usage by workspace, for its peers."""
         return {
             workspace: BucketUsage(
-                replica.own_window.sum(self._counted_s, now),
+                replica.own_window.sum(self.counted_s, now),
                 replica.own_reserved,
                 replica.asked_window.sum(DEMAND_PERIOD_S, now),
                 replica.returning.tokens(now),
@@ -383,8 +356,8 @@
     ) -> None:
         """Applies the usage of all other relays to the replica of a workspace.
 
-        What was charged before stays in the window when a relay is lost and its part is
-        missing from the usage.
+        What was charged before stays in the window when a relay ends and its part is
+        missing from the usage. What that relay had reserved may have run as well.
 
         Args:
             workspace: Workspace that the tokens were used for.
@@ -394,10 +367,12 @@
         """
         replica = self._replica(workspace, limit, now)
         self._refill(replica, now)
-        known = replica.others_window.sum(self._counted_s, now)
-        charged = max(0.0, usage.charged - known)
-        replica.others_window.add(charged, now)
+        window = replica.others_window
         reserved = usage.reserved - replica.others_reserved
+        if window.take_missing(usage.charged, self.counted_s, now):
+            window.add_ended(max(0.0, -reserved), now)
+            reserved = max(0.0, reserved)
+        charged = window.add_reported(usage.charged, self.counted_s, now)
         replica.others_reserved = usage.reserved
         replica.others_asked = usage.asked
         replica.others_returning = usage.returning
@@ -417,7 +392,7 @@
         """Returns whether a new replica would allow no more than this one."""
         self._refill(replica, now)
         initial_level = replica.limit.burst * INITIAL_LEVEL_FRACTION
-        is_used = replica.used(self._counted_s, now) > 0
+        is_used = replica.used(self.counted_s, now) > 0
         return not is_used and replica.level >= initial_level
 
     def _replica(self, workspace: str, limit: RateLimit, now: float) -> _Replica:
--- a/wasabimux/link/_relay_codec.py
+++ b/wasabimux/link/_relay_codec.py
@@ -6,6 +6,7 @@
 
 from wasabimux.decisions.aggregation import Scope, UsageReport
 from wasabimux.decisions.crash_attribution import CrashEvidence, CrashId
+from wasabimux.decisions.ended_charges import EndedCharge
 from wasabimux.decisions.memory_forecast import ZERO_FORECAST
 from wasabimux.decisions.shared_bucket import BucketUsage
 from wasabimux.decisions.stream_versions import StreamVersion
@@ -13,6 +14,7 @@
 from wasabimux.ids import SoftwareVersion, StoreRevision, SuspectId, UpstreamId
 from wasabimux.link.messages import (
     DesiredStateOffer,
+    EndedCharges,
     EngineCrashes,
     ForwardedObject,
     ForwardedObjects,
@@ -243,3 +245,22 @@
 def _to_uint32(number: float) -> int:
     """Returns the nearest whole number that the schema can hold."""
     return int(min(max(0.0, number), MAX_UINT32))
+
+
+def encode_ended_charges(builder: Any, message: EndedCharges) -> None:
+    """Encodes charges of relays that have ended."""
+    target = builder.init("endedCharges", len(message.charges))
+    for item, charge in zip(target, message.charges):
+        item.workspace = charge.workspace
+        item.ageMs = min(int(charge.age_s * 1000), MAX_UINT32)
+        item.tokens = charge.tokens
+
+
+def decode_ended_charges(item: Any) -> EndedCharges:
+    """Decodes charges of relays that have ended; tokens below 0 count as none."""
+    return EndedCharges(
+        tuple(
+            EndedCharge(entry.workspace, entry.ageMs / 1000, max(0.0, entry.tokens))
+            for entry in item.endedCharges
+        )
+    )
--- a/wasabimux/link/codec.py
+++ b/wasabimux/link/codec.py
@@ -10,6 +10,7 @@
 
 from wasabimux.decisions.rate import GrantDecision, GrantOutcome, GrantReport, Spent
 from wasabimux.link._relay_codec import (
+    decode_ended_charges,
     decode_engine_crashes,
     decode_forwarded_objects,
     decode_relay_identity,
@@ -18,6 +19,7 @@
     decode_slot_grant_request,
     decode_versions_seen,
     encode_desired_state_offer,
+    encode_ended_charges,
     encode_engine_crashes,
     encode_forwarded_objects,
     encode_relay_identity,
@@ -33,6 +35,7 @@
     Data,
     DesiredStateOffer,
     EndStream,
+    EndedCharges,
     EngineCrashes,
     ForwardedObjects,
     FrameItem,
@@ -300,6 +303,7 @@
     DesiredStateOffer: encode_desired_state_offer,
     EngineCrashes: encode_engine_crashes,
     VersionsSeen: encode_versions_seen,
+    EndedCharges: encode_ended_charges,
     RelayLeaving: _encode_relay_leaving,
 }
 
@@ -420,6 +424,7 @@
     "slotAnswer": decode_slot_grant_reply,
     "engineCrashes": decode_engine_crashes,
     "versionsSeen": decode_versions_seen,
+    "endedCharges": decode_ended_charges,
     "desiredOffer": lambda item: DesiredStateOffer(item.desiredOffer),
     "slotRelease": lambda item: SlotRelease(item.slotRelease),
     "relayLeaving": lambda item: RelayLeaving(),
--- a/wasabimux/link/messages.py
+++ b/wasabimux/link/messages.py
@@ -10,6 +10,7 @@
 
 from wasabimux.decisions.aggregation import UsageReport
 from wasabimux.decisions.crash_attribution import CrashEvidence
+from wasabimux.decisions.ended_charges import EndedCharge
 from wasabimux.decisions.rate import GrantDecision, GrantReport
 from wasabimux.decisions.stream_versions import StreamVersion
 from wasabimux.errors import ErrorCode, Ran, Refusal
@@ -339,6 +340,12 @@
     versions: tuple[StreamVersion, ...]
 
 
+class EndedCharges(NamedTuple):
+    """Charges of relays that have ended, from one aggregator to another."""
+
+    charges: tuple[EndedCharge, ...]
+
+
 class RelayLeaving(NamedTuple):
     """Announces that the sender is about to shut down gracefully."""
 
@@ -404,6 +411,7 @@
     SlotRelease,
     EngineCrashes,
     VersionsSeen,
+    EndedCharges,
 ]
 
 
--- a/wasabimux/link/wire.capnp
+++ b/wasabimux/link/wire.capnp
@@ -41,6 +41,7 @@
     desiredOffer @28 :Data; # document of the desired state that the sender has in force
     engineCrashes @29 :EngineCrashes;
     versionsSeen @30 :VersionsSeen;
+    endedCharges @31 :List(EndedCharge);
   }
 }
 
@@ -257,6 +258,12 @@
   sinceEra @6 :UInt64;
 }
 
+struct EndedCharge {
+  workspace @0 :Text;
+  ageMs @1 :UInt32;       # time since the tokens were charged
+  tokens @2 :Float64;
+}
+
 struct EngineCrash {
   upstream @0 :Text;
   startedMs @1 :UInt64;   # start of the engine's process since the epoch, 0 if unknown
--- a/wasabimux/relay/mesh.py
+++ b/wasabimux/relay/mesh.py
@@ -22,6 +22,7 @@
 from wasabimux.link.link import Link
 from wasabimux.link.messages import (
     DesiredStateOffer,
+    EndedCharges,
     ForwardedObjects,
     Hello,
     KindRevision,
@@ -210,6 +211,9 @@
             self._forwarder.apply_offer(message, now)
         elif isinstance(message, RelayReport):
             self._on_report(link, peer, message, now)
+        elif isinstance(message, EndedCharges):
+            if peer.failure_domain == self._identity.failure_domain:
+                self._fleet_usage.on_ended_charges(message.charges, now)
         elif isinstance(message, RelayLeaving):
             peer.shutting_down = True
             self._fleet_usage.on_leaving(peer.address)
@@ -252,7 +256,7 @@
         self.add_peer(identity.address, identity.failure_domain)
         peer = self.membership.peer_by_address[identity.address]
         if peer.incarnation != link.peer.incarnation:
-            self._fleet_usage.forget(peer.address)
+            self._fleet_usage.forget(peer.address, loop_time())
             self._forwarder.forget(peer.address)
             self._on_link_lost(peer.address)
             peer.shutting_down = False
@@ -266,8 +270,21 @@
             link.send(0, self._identity)
         peer.sent_s_by_scope.clear()
         self._usage_changed.set()
+        self._send_ended_charges(peer, link)
         self.on_linked(link)
 
+    def _send_ended_charges(self, peer: Peer, link: Link) -> None:
+        """Tells a relay of this domain, which may aggregate now, what ended ones used.
+
+        A relay that has just started has not heard of them.
+        """
+        now = loop_time()
+        is_in_domain = peer.failure_domain == self._identity.failure_domain
+        if is_in_domain and self.membership.is_aggregator(now):
+            charges = self._fleet_usage.ended_charges(now)
+            if charges:
+                link.send(0, EndedCharges(tuple(charges)))
+
     def _on_report(
         self, link: Link, peer: Peer, message: RelayReport, now: float
     ) -> None:
@@ -344,7 +361,7 @@
                     self._timeline.record("peer_lost", peer=address)
                     self._on_link_lost(address)
         for peer in self.membership.take_for_gone(now):
-            self._fleet_usage.forget(peer.address)
+            self._fleet_usage.forget(peer.address, now)
             self._forwarder.forget(peer.address)
             self._timeline.record("peer_forgotten", peer=peer.address)
 
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -170,7 +170,7 @@
             settings.failure_domain,
             self.links,
             self.view,
-            FleetUsage(settings.failure_domain),
+            FleetUsage(settings.failure_domain, self._buckets.counted_s),
             self.usage,
             self._is_store_reachable,
             self._on_others_changed,
