Let an aggregator that comes back lead only once it has aggregated for 2 s

Change: an aggregator that was away leads again after 2 s, unless there is no other; news older than 0.5 s is charged with what may have been admitted since.

--- a/wasabimux/decisions/aggregation.py
+++ b/wasabimux/decisions/aggregation.py
@@ -298,6 +298,11 @@
             return NO_USAGE
         return self._without_own(heard.report)
 
+    def news_age_s(self, now: float) -> float:
+        """Returns the age in s of the sum of the fleet that a member uses."""
+        heard = _best(self._fleet_by_address.values(), now)
+        return GONE_AFTER_S if heard is None else now - heard.heard_s
+
     def counts(self, known: int, now: float) -> RelayCounts:
         """Returns the numbers of relays of the fleet, as its aggregators tell them.
 
--- a/wasabimux/decisions/shared_bucket.py
+++ b/wasabimux/decisions/shared_bucket.py
@@ -32,6 +32,9 @@
 #: an average over a longer time lags behind a demand that rises.
 DEMAND_PERIOD_S = 0.5
 
+#: Age in s up to which news of other relays' usage is as late as in calm.
+FRESH_NEWS_S = 0.5
+
 #: Interval in s between the charges that are assumed before a start, and the number of
 #: intervals right before it without any, as a start takes longer than these.
 ASSUMED_CHARGE_INTERVAL_S = 0.5
@@ -191,9 +194,14 @@
         self._replica_by_workspace: dict[str, _Replica] = {}
         self._silent_share = 0.0
         self._report_delay_s = 0.0
+        self._news_age_s = 0.0
 
     def set_peers(
-        self, silent_peer_count: int, relay_count: int, report_delay_s: float
+        self,
+        silent_peer_count: int,
+        relay_count: int,
+        report_delay_s: float,
+        news_age_s: float = 0.0,
     ) -> None:
         """Withholds what peers may be using without a report of it.
 
@@ -201,10 +209,13 @@
             silent_peer_count: Peers that are unreachable and not known to have ended.
                 Their share of the rate is withheld.
             relay_count: All relays, including this one.
-            report_delay_s: Longest time in s until this relay knows what others admit.
+            report_delay_s: Longest time in s until this relay knows what others admit,
+                in calm.
+            news_age_s: Age in s of what it knows.
         """
         self._silent_share = silent_peer_count / max(1, relay_count)
         self._report_delay_s = report_delay_s
+        self._news_age_s = news_age_s
 
     def reserve(
         self,
@@ -320,14 +331,16 @@
     def _unreported(self, replica: _Replica, now: float) -> float:
         """Returns the tokens that other relays may have admitted without a report.
 
-        Taken from the tolerance only, so that a steady load gets its rate.
+        Taken from the tolerance only, so that a steady load gets its rate, while the
+        news of others is fresh.
         """
         own_asked = replica.asked_window.sum(DEMAND_PERIOD_S, now)
         asked_per_s = (own_asked + replica.others_asked) / DEMAND_PERIOD_S
         unreported = asked_per_s * self._report_delay_s
         with_tolerance = self._tolerance.window_limit(replica.limit, TOLERANCE_FRACTION)
         without_tolerance = self._tolerance.window_limit(replica.limit, 0.0)
-        return min(unreported, with_tolerance - without_tolerance)
+        unreported = min(unreported, with_tolerance - without_tolerance)
+        return unreported + asked_per_s * max(0.0, self._news_age_s - FRESH_NEWS_S)
 
     @property
     def counted_s(self) -> float:
--- a/wasabimux/relay/membership.py
+++ b/wasabimux/relay/membership.py
@@ -17,6 +17,10 @@
 #: Time in s without a message of the leading aggregator after which the next one leads.
 LEAD_SILENT_AFTER_S = 0.7
 
+#: Time in s for which an aggregator that was away must have aggregated before it leads
+#: again. Until then not all relays of its domain may have found it.
+LEAD_SETTLE_S = 2.0
+
 #: Time in s for which an aggregator must have reported for its relays to rely on it.
 RELIED_REPORT_AGE_S = 0.9
 
@@ -38,6 +42,7 @@
         heard_s: Loop time in s of the last message, None before the first.
         aggregated_s: Loop time in s of the last sum that the peer sent as an
             aggregator, None before the first.
+        aggregates_since_s: Loop time in s since which it has sent sums without a gap.
         sent_s_by_scope: Loop time in s of the last report sent to the peer.
         incarnation: Incarnation of the peer's process, 0 if unknown.
         shutting_down: True if the peer has announced its shutdown.
@@ -51,6 +56,7 @@
     wanted_since_s: float | None = None
     heard_s: float | None = None
     aggregated_s: float | None = None
+    aggregates_since_s: float = 0.0
     sent_s_by_scope: dict[Scope, float] = field(default_factory=dict)
     incarnation: int = 0
     shutting_down: bool = False
@@ -66,6 +72,25 @@
         last_s = max(self.wanted_since_s, self.aggregated_s or self.wanted_since_s)
         return now - last_s <= SILENT_AFTER_S
 
+    def on_sum(self, now: float) -> None:
+        """Records a sum that the peer sent as an aggregator."""
+        if not self.aggregates(now):
+            self.aggregates_since_s = now
+        self.aggregated_s = now
+
+    def on_restarted(self) -> None:
+        """Records that another process has taken the peer's place."""
+        self.aggregated_s = None
+        self.shutting_down = False
+
+    def is_heard_as_aggregator(self, now: float) -> bool:
+        """Returns whether the peer aggregates and was heard a moment ago."""
+        return (
+            self.aggregated_s is not None
+            and self.heard_s is not None
+            and now - self.heard_s <= LEAD_SILENT_AFTER_S
+        )
+
     def aggregates(self, now: float, within_s: float = SILENT_AFTER_S) -> bool:
         """Returns whether the peer has reported as an aggregator a short time ago."""
         return (
@@ -154,17 +179,24 @@
         return self.lead(self._identity.failure_domain, now) == self._identity.address
 
     def lead(self, failure_domain: str, now: float) -> str | None:
-        """Returns the first aggregator of a failure domain that is heard."""
+        """Returns the first aggregator of a failure domain that is heard.
+
+        One that has just come back leads only if there is no other.
+        """
         aggregators = self.aggregators(now, failure_domain)
-        for address in aggregators:
-            peer = self.peer_by_address.get(address)
-            if peer is None or (
-                peer.aggregated_s is not None
-                and peer.heard_s is not None
-                and now - peer.heard_s <= LEAD_SILENT_AFTER_S
-            ):
-                return address
-        return aggregators[0] if aggregators else None
+        heard = [item for item in aggregators if self._is_heard(item, now)]
+        settled = [item for item in heard if self._is_settled(item, now)]
+        return next(iter(settled or heard or aggregators), None)
+
+    def _is_heard(self, address: str, now: float) -> bool:
+        peer = self.peer_by_address.get(address)
+        return peer is None or peer.is_heard_as_aggregator(now)
+
+    def _is_settled(self, address: str, now: float) -> bool:
+        """Returns whether an aggregator has aggregated for some time."""
+        peer = self.peer_by_address.get(address)
+        since_s = self._aggregator_since_s if peer is None else peer.aggregates_since_s
+        return since_s is not None and now - since_s >= LEAD_SETTLE_S
 
     def heard_aggregators(self, now: float, store_reachable: bool) -> list[str]:
         """Returns the peers that are heard as aggregators of any failure domain.
--- a/wasabimux/relay/mesh.py
+++ b/wasabimux/relay/mesh.py
@@ -233,6 +233,12 @@
         """Longest time in s until this relay knows what others use, over three hops."""
         return MAX_REPORT_HOPS * self._report_interval_s()
 
+    def news_age_s(self, now: float) -> float:
+        """Returns the age in s of what this relay knows of the others' usage."""
+        if self.membership.leads(now):
+            return 0.0
+        return self._fleet_usage.news_age_s(now)
+
     def _report_interval_s(self) -> float:
         """Returns the shortest time in s between reports."""
         interval_s = REPORT_INTERVAL_S_PER_RELAY * len(self.membership.peer_by_address)
@@ -259,7 +265,7 @@
             self._fleet_usage.forget(peer.address, loop_time())
             self._forwarder.forget(peer.address)
             self._on_link_lost(peer.address)
-            peer.shutting_down = False
+            peer.on_restarted()
         peer.incarnation = link.peer.incarnation
         peer.forgotten_s = None
         peer.heard_s = loop_time()
@@ -291,7 +297,7 @@
         report = message.report
         peer.store_reachable = report.store_reachable
         if report.scope is not Scope.RELAY:
-            peer.aggregated_s = now
+            peer.on_sum(now)
             if report.store_reachable:
                 self.informed_boot_s = boot_time_s()
         for address in message.aggregators:
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -542,7 +542,12 @@
             all_heard = self._registration.done and not silent_count
             self.membership_settled = all_heard or now - started_s > MEMBERSHIP_SETTLE_S
             self.retries.set_relay_count(relay_count if self.membership_settled else 0)
-            self._buckets.set_peers(silent_count, relay_count, self.mesh.report_delay_s)
+            self._buckets.set_peers(
+                silent_count,
+                relay_count,
+                self.mesh.report_delay_s,
+                self.mesh.news_age_s(now),
+            )
 
     def _update_gauges(self, now: float, lag_s: float) -> None:
         """Updates the gauges.
