Roll out new software versions by evidence

No code read an order at rollouts/SERVICE. Each relay now divides its requests between the versions within the allowed exposure, records how both answer, and stops a bad version by itself; the first aggregator that reaches the store writes the steps under the object's revision.

--- a/tests/relay_fixtures.py
+++ b/tests/relay_fixtures.py
@@ -30,6 +30,7 @@
         relays: The relays under test.
         runs: Owners of the relays, in the same order.
         store_address: Address of the store.
+        changes: Fields of the relays' settings that replace the default ones.
     """
 
     store: StandInStore
@@ -37,11 +38,13 @@
     relays: list[RunningRelay]
     runs: list[contextlib.AsyncExitStack]
     store_address: str
+    changes: dict[str, Any] = {}
 
     async def start_relay(self, index: int) -> None:
         """Starts a relay, or starts it again after a stop without a drain."""
         await self.runs[index].aclose()
         settings = relay_settings(f"relay-{index}", self.store_address)
+        settings = settings.model_copy(update=self.changes)
         platform = relay_platform(self.store_address)
         await self.runs[index].enter_async_context(platform.store)
         run = run_relay(settings, platform, random.Random(index))
@@ -247,13 +250,14 @@
 
 @contextlib.asynccontextmanager
 async def relay_cluster(
-    relays: int = 1, state: dict[str, Any] | None = None
+    relays: int = 1, state: dict[str, Any] | None = None, **changes: Any
 ) -> AsyncGenerator[RelayCluster, None]:
     """Runs relays, two upstreams without an engine and four engines.
 
     Args:
         relays: Number of relays.
         state: Desired state document, the default one if None.
+        **changes: Fields of the relays' settings that replace the default ones.
 
     Yields:
         The cluster, once all relays are ready and know all upstreams.
@@ -278,7 +282,7 @@
             for _ in range(relays)
         ]
         runners_by_id = {runner.id: runner for runner in runners}
-        cluster = RelayCluster(store, runners_by_id, [], runs, address)
+        cluster = RelayCluster(store, runners_by_id, [], runs, address, changes)
         for index in range(relays):
             await cluster.start_relay(index)
         await cluster.wait_until_settled()
--- a/tests/test_rate_departures.py
+++ b/tests/test_rate_departures.py
@@ -11,8 +11,7 @@
 from dataclasses import dataclass, field
 
 import pytest
-from hypothesis import given, settings
-from hypothesis import strategies as st
+from hypothesis import given, settings, strategies as st
 
 from wasabimux.decisions.aggregation import FleetUsage, Scope, UsageReport
 from wasabimux.decisions.charge_window import ReportedCharges
--- a/wasabimux/adapters/relay_metrics.py
+++ b/wasabimux/adapters/relay_metrics.py
@@ -53,7 +53,7 @@
             "wasabimux_relay_state",
             "State: peers, silent_peers, waiting_streams, quarantined_prompts, "
             "limited_upstreams, leaving_upstreams, paused_upstreams, "
-            "log_lines_dropped, loop_lag_seconds.",
+            "log_lines_dropped, loop_lag_seconds, rollouts_running.",
             registry=registry,
         )
 
--- a/wasabimux/cli/daemon.py
+++ b/wasabimux/cli/daemon.py
@@ -107,10 +107,11 @@
     from wasabimux.adapters.log_writer import LogWriter, install_log_writer
     from wasabimux.platform.relay_platform import relay_platform
     from wasabimux.relay.process import run_relay, wait_for_shutdown_signal
-    from wasabimux.settings.process import RelaySettings
+    from wasabimux.settings.process import RelaySettings, relay_environment
 
     path = settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
-    checked_settings = _settings_or_exit(read_document(RelaySettings, path), path)
+    read = read_document(RelaySettings, path, relay_environment(os.environ))
+    checked_settings = _settings_or_exit(read, path)
 
     async def run(writer: LogWriter) -> bool:
         platform = relay_platform(checked_settings.platform)
--- a/wasabimux/decisions/rollout.py
+++ b/wasabimux/decisions/rollout.py
@@ -4,9 +4,8 @@
 times as long, at once or later, only under load or only on one route. While a roll-out
 is on trial, the new version gets a small share of the requests. Its answers are
 compared with those of the old versions on the same route in the same time, in several
-windows.
-An upstream may be in trouble of its own, so the worst upstream of the new version is left
-out where it has several.
+windows. An upstream may be in trouble of its own, so the worst upstream of the new
+version is left out where it has several.
 
 The tests are sequential: they are made again with every report, and their bounds are
 high enough for that. See docs/design/roll-outs.md.
@@ -37,11 +36,9 @@
 #: Time in s between kept sums, which bounds how far a window may be off.
 SUM_INTERVAL_S = 0.5
 
-#: Excess failure rates that a version is tested for.
-EXCESS_FAILURE_RATES = (0.05, 0.1, 0.2, 0.4, 0.6)
-
-#: Log likelihood ratio from which a version fails more often than the old ones.
-MAX_FAILURE_LLR = 11.5
+#: Log likelihood ratio of two failure rates to a common one from which a version fails
+#: more often than the old ones.
+MAX_FAILURE_LLR = 8.0
 
 #: Bounds of the failure rate of the old versions; few answers show no lower one.
 MIN_FAILURE_RATE = 0.01
@@ -69,7 +66,7 @@
 #: Fewest answers of the new version without which a trial fails at its end, and the
 #: excess failure rate that must then be less likely than none.
 MIN_TRIAL_ANSWERS = 8
-DOUBTFUL_EXCESS_RATE = 0.1
+DOUBTFUL_EXCESS_RATE = 0.2
 
 #: Fractions of the time limit: before the first, no version passes its trial, as some
 #: turn bad later; at the second, the trial ends by what is known.
@@ -220,10 +217,10 @@
         windows = [self._since(now - length_s) for length_s in WINDOWS_S]
         if self._has_tried_enough():
             for samples in (*windows, self._latest):
-                for comparison in self._comparisons(samples):
-                    reason = comparison.fault()
-                    if reason:
-                        return Verdict(Finding.BAD, reason)
+                compared = self._comparisons(samples)
+                reasons = [item.fault() for item in compared] + [_slow_on_all(compared)]
+                for reason in filter(None, reasons):
+                    return Verdict(Finding.BAD, reason)
         comparisons = self._comparisons(self._latest)
         if sum(item.new_answers for item in comparisons) < MIN_TRIAL_ANSWERS:
             return Verdict(Finding.DOUBTFUL, "too few answers of the new version")
@@ -310,44 +307,54 @@
 
     def fault(self) -> str:
         """Returns what is wrong with the new version, empty if nothing shows."""
-        failing, slow = self.failing, self.slow
+        failing = self.failing
         if self._failure_llr(failing) > MAX_FAILURE_LLR:
             return (
                 f"route {self.route}: {failing.failures} of {failing.answers} answers"
                 f" failed, {self.old.failures} of {self.old.answers} at old versions"
             )
-        margin = SLOW_STANDARD_ERRORS * self._standard_error(slow)
-        enough = min(slow.timed, self.old.timed) >= MIN_TIMED_ANSWERS
-        if enough and self._log_ratio(slow) - margin > math.log(SLOW_FACTOR):
-            factor = math.exp(self._log_ratio(slow))
+        margin = SLOW_STANDARD_ERRORS * self.standard_error
+        enough = min(self.slow.timed, self.old.timed) >= MIN_TIMED_ANSWERS
+        if enough and self.log_ratio - margin > math.log(SLOW_FACTOR):
+            factor = math.exp(self.log_ratio)
             return f"route {self.route}: answers take {factor:.1f} times as long"
         return ""
 
     @property
     def is_doubtful(self) -> bool:
         """True if the new version is rather worse than not."""
-        failing, slow = self.failing, self.slow
-        if self._llr(failing, DOUBTFUL_EXCESS_RATE) > 0:
+        if self._llr(self.failing, DOUBTFUL_EXCESS_RATE) > 0:
             return True
-        return slow.timed > 0 and self._log_ratio(slow) > math.log(SLOW_FACTOR)
+        return self.slow.timed > 0 and self.log_ratio > math.log(SLOW_FACTOR)
 
     @property
     def is_good(self) -> bool:
         """True if the new version is shown to be about as good as the old ones."""
-        new = self.failing
-        excess = _smoothed_rate(new) - self.old.failure_rate
+        excess = _smoothed_rate(self.failing) - self.old.failure_rate
         error = math.sqrt(
-            _rate_variance(new) / max(1, new.answers)
-            + _rate_variance(self.old) / max(1, self.old.answers)
+            sum(
+                _rate_variance(sample) / max(1, sample.answers)
+                for sample in (self.failing, self.old)
+            )
         )
         if excess + GOOD_STANDARD_ERRORS * error > GOOD_EXCESS_RATE:
             return False
-        margin = GOOD_STANDARD_ERRORS * self._standard_error(self.slow)
-        return self._log_ratio(self.slow) + margin < math.log(SLOW_FACTOR)
+        margin = GOOD_STANDARD_ERRORS * self.standard_error
+        return self.log_ratio + margin < math.log(SLOW_FACTOR)
 
     def _failure_llr(self, new: AnswerSample) -> float:
-        """Returns the highest log likelihood ratio of an excess failure rate."""
-        return max(self._llr(new, excess) for excess in EXCESS_FAILURE_RATES)
+        """Returns the log likelihood ratio of two failure rates to a common one.
+
+        0 unless the new version fails more often.
+        """
+        if new.failure_rate <= self.old.failure_rate:
+            return 0.0
+        common_rate = new.plus(self.old).failure_rate
+        return sum(
+            _surprise(sample.failures, sample.answers * common_rate)
+            + _surprise(sample.timed, sample.answers * (1.0 - common_rate))
+            for sample in (new, self.old)
+        )
 
     def _llr(self, new: AnswerSample, excess: float) -> float:
         """Returns the log likelihood ratio of one excess failure rate to none."""
@@ -358,18 +365,44 @@
         failed = new.failures * math.log(rate / old_rate)
         return failed + new.timed * math.log((1.0 - rate) / (1.0 - old_rate))
 
-    def _log_ratio(self, new: AnswerSample) -> float:
-        return new.mean_log_time - self.old.mean_log_time
+    @property
+    def log_ratio(self) -> float:
+        """Logarithm of the ratio of the new version's times to those before."""
+        return self.slow.mean_log_time - self.old.mean_log_time
 
-    def _standard_error(self, new: AnswerSample) -> float:
-        old = self.old
-        new_variance = max(MIN_LOG_TIME_VARIANCE, new.log_time_variance)
-        old_variance = max(MIN_LOG_TIME_VARIANCE, old.log_time_variance)
+    @property
+    def standard_error(self) -> float:
+        """Standard error of `log_ratio`."""
         return math.sqrt(
-            new_variance / max(1, new.timed) + old_variance / max(1, old.timed)
+            sum(
+                max(MIN_LOG_TIME_VARIANCE, sample.log_time_variance)
+                / max(1, sample.timed)
+                for sample in (self.slow, self.old)
+            )
         )
 
 
+def _slow_on_all(compared: Collection[_Comparison]) -> str:
+    """Returns that the new version is slow on all routes together, else nothing.
+
+    Each route counts by how exactly its ratio of times is known.
+    """
+    timed = [
+        item
+        for item in compared
+        if item.measure is Measure.ANSWER and item.slow.timed and item.old.timed
+    ]
+    if sum(item.slow.timed for item in timed) < MIN_TIMED_ANSWERS:
+        return ""
+    weights = [item.standard_error**-2 for item in timed]
+    ratio = sum(item.log_ratio * weight for item, weight in zip(timed, weights))
+    ratio /= sum(weights)
+    margin = SLOW_STANDARD_ERRORS / math.sqrt(sum(weights))
+    if ratio - margin <= math.log(SLOW_FACTOR):
+        return ""
+    return f"answers of all routes take {math.exp(ratio):.1f} times as long"
+
+
 def _failure_rate(sample: AnswerSample) -> float:
     return sample.failure_rate
 
@@ -378,6 +411,11 @@
     return sample.mean_log_time if sample.timed else -math.inf
 
 
+def _surprise(count: int, expected: float) -> float:
+    """Returns the part of a log likelihood ratio that a count contributes."""
+    return count * math.log(count / expected) if count else 0.0
+
+
 def _smoothed_rate(sample: AnswerSample) -> float:
     """Returns a failure rate that is never 0 or 1."""
     return (sample.failures + 1) / (sample.answers + 2)
--- a/wasabimux/decisions/usage_sums.py
+++ b/wasabimux/decisions/usage_sums.py
@@ -15,6 +15,13 @@
     sum_forecasts,
 )
 from wasabimux.decisions.shared_bucket import BucketUsage
+from wasabimux.decisions.version_samples import (
+    AnswerSample,
+    SampleKey,
+    Samples,
+    add_samples,
+    subtract_samples,
+)
 
 
 class UpstreamLoad(NamedTuple):
@@ -65,11 +72,13 @@
         bucket_by_workspace: Tokens used of the workspaces' rate limits.
         load_by_upstream: Load on upstreams.
         waiting: Requests that wait for a decode slot.
+        samples: Answers since the order of a roll-out, of services that have one.
     """
 
     bucket_by_workspace: Mapping[str, BucketUsage] = {}
     load_by_upstream: Mapping[str, UpstreamLoad] = {}
     waiting: int = 0
+    samples: Samples = {}
 
 
 NO_USAGE = Usage()
@@ -79,8 +88,10 @@
     """Returns the sum of usages."""
     buckets: dict[str, BucketUsage] = {}
     loads: dict[str, UpstreamLoad] = {}
+    samples: dict[SampleKey, AnswerSample] = {}
     waiting = 0
     for item in items:
+        add_samples(samples, item.samples)
         waiting += item.waiting
         for workspace, bucket in item.bucket_by_workspace.items():
             known = buckets.get(workspace, BucketUsage())
@@ -92,7 +103,7 @@
             )
         for upstream, load in item.load_by_upstream.items():
             loads[upstream] = loads.get(upstream, NO_LOAD).plus(load)
-    return Usage(buckets, loads, waiting)
+    return Usage(buckets, loads, waiting, samples)
 
 
 def subtract_usage(total: Usage, part: Usage) -> Usage:
@@ -111,4 +122,9 @@
         upstream: load.minus(part.load_by_upstream.get(upstream, NO_LOAD))
         for upstream, load in total.load_by_upstream.items()
     }
-    return Usage(buckets, loads, max(0, total.waiting - part.waiting))
+    return Usage(
+        buckets,
+        loads,
+        max(0, total.waiting - part.waiting),
+        subtract_samples(total.samples, part.samples),
+    )
--- a/wasabimux/link/_relay_codec.py
+++ b/wasabimux/link/_relay_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from wasabimux.decisions.aggregation import Scope, UsageReport
@@ -11,6 +12,7 @@
 from wasabimux.decisions.shared_bucket import BucketUsage
 from wasabimux.decisions.stream_versions import StreamVersion
 from wasabimux.decisions.usage_sums import UpstreamLoad, Usage
+from wasabimux.decisions.version_samples import AnswerSample, Measure, SampleKey
 from wasabimux.ids import SoftwareVersion, StoreRevision, SuspectId, UpstreamId
 from wasabimux.link.messages import (
     DesiredStateOffer,
@@ -27,6 +29,9 @@
     VersionsSeen,
 )
 
+#: Values of the measures that this version knows.
+MEASURES = frozenset(measure.value for measure in Measure)
+
 MAX_UINT16 = 2**16 - 1
 MAX_UINT32 = 2**32 - 1
 
@@ -64,6 +69,11 @@
 
 def _encode_usage(target: Any, usage: Usage) -> None:
     target.waiting = min(usage.waiting, MAX_UINT32)
+    samples = target.init("samples", len(usage.samples))
+    for item, (key, sample) in zip(samples, usage.samples.items()):
+        item.service, item.software, item.upstream, item.route = key[:4]
+        item.measure = key.measure.value
+        item.answers, item.failures, item.logTime, item.logTimeSquared = sample
     workspaces = target.init("workspaces", len(usage.bucket_by_workspace))
     for item, (workspace, bucket) in zip(workspaces, usage.bucket_by_workspace.items()):
         item.workspace = workspace
@@ -112,7 +122,22 @@
         },
         {item.upstream: _decode_load(item) for item in source.upstreams},
         source.waiting,
+        dict(filter(None, map(_decode_sample, source.samples))),
+    )
+
+
+def _decode_sample(item: Any) -> tuple[SampleKey, AnswerSample] | None:
+    """Decodes a sample; None if it is of another version, or holds no numbers."""
+    sample = AnswerSample(
+        item.answers,
+        min(item.failures, item.answers),
+        item.logTime,
+        item.logTimeSquared,
     )
+    if item.measure not in MEASURES or not all(map(math.isfinite, sample)):
+        return None
+    names = (item.service, item.software, item.upstream, item.route)
+    return SampleKey(*names, Measure(item.measure)), sample
 
 
 def _decode_load(item: Any) -> UpstreamLoad:
--- a/wasabimux/link/wire.capnp
+++ b/wasabimux/link/wire.capnp
@@ -238,6 +238,19 @@
   aggregators @10 :List(Text); # of the sender's failure domain
   leads @11 :Bool;        # the sender leads its failure domain
   desiredVersion @12 :UInt64; # of the desired state that the sender has in force
+  samples @13 :List(AnswerSample); # of services with a roll-out
+}
+
+struct AnswerSample {
+  service @0 :Text;
+  software @1 :Text;      # version of the upstreams
+  upstream @2 :Text;      # empty for the old versions, which are summed up
+  route @3 :Text;
+  measure @4 :UInt8;      # which time: 0 to the answer, 1 between events
+  answers @5 :UInt32;
+  failures @6 :UInt32;
+  logTime @7 :Float64;    # sum of the logarithms of the times in s
+  logTimeSquared @8 :Float64;
 }
 
 struct RelayObject {
--- a/wasabimux/platform/documents.py
+++ b/wasabimux/platform/documents.py
@@ -10,6 +10,7 @@
 from pydantic.alias_generators import to_camel
 
 from wasabimux.decisions.rate import RateLimit
+from wasabimux.decisions.rollout import RolloutOrder, RolloutStep
 from wasabimux.ids import (
     FailureDomainId,
     SoftwareVersion,
@@ -23,6 +24,7 @@
     Phase,
     RelayRoute,
     RequestKind,
+    RolloutRecord,
     ServiceProfile,
     UpstreamRecord,
     WeightedService,
@@ -40,6 +42,9 @@
 #: Kind of the evacuations, each named by a failure domain that receives no requests.
 EVACUATION_KIND = "evacuations"
 
+#: Kind of the roll-outs that operators order, each named by its service.
+ROLLOUT_KIND = "rollouts"
+
 #: Unit of a rate limit that counts tokens instead of requests.
 TOKEN_UNIT = "token_stream"
 
@@ -60,6 +65,9 @@
 MAX_COLD_MS = 86_400_000
 MAX_SEQUENCE = 2**53
 
+#: Longest time limit of a roll-out.
+MAX_ROLLOUT_S = 86_400.0
+
 
 class _Document(BaseModel):
     """Base class of the documents: camelCase in JSON, unknown fields are ignored."""
@@ -228,6 +236,74 @@
     version: Label
 
 
+class _Rollout(_Document):
+    """Order to move a service to a software version."""
+
+    model_config = ConfigDict(strict=True)
+
+    service: Name
+    to: Label = Field(min_length=1)
+    duration_s: float = Field(gt=0, le=MAX_ROLLOUT_S)
+
+
+class _RolloutStatus(_Document):
+    """What this system last wrote of a roll-out; `state` is what operators read."""
+
+    state: Literal["running", "completed", "rolled_back"]
+    to: str
+    #: Step of a roll-out whose state is `running`.
+    step: str = RolloutStep.TRIAL.value
+    #: Time of day of the order, in ms since the epoch; 0 if unknown.
+    begun_ms: EpochMs = 0
+
+    def to_step(self) -> RolloutStep:
+        if self.state != "running":
+            return RolloutStep(self.state)
+        is_moving = self.step == RolloutStep.MOVING.value
+        return RolloutStep.MOVING if is_moving else RolloutStep.TRIAL
+
+
+def decode_rollout(document: Any) -> Result[RolloutRecord, list[Finding]]:
+    """Decodes a roll-out; a status that cannot be read, or of another order, is none.
+
+    Args:
+        document: Order and status, under `spec` and `status`.
+
+    Returns:
+        The roll-out, or all findings.
+    """
+    fields = document if isinstance(document, dict) else {}
+    checked = check_document(_Rollout, fields.get("spec"))
+    if checked.is_error():
+        return Error(checked.error)
+    rollout = checked.ok
+    order = RolloutOrder(
+        rollout.service, SoftwareVersion(rollout.to), rollout.duration_s
+    )
+    status = check_document(_RolloutStatus, fields.get("status"))
+    if status.is_error() or status.ok.to != rollout.to:
+        return Ok(RolloutRecord(order))
+    return Ok(RolloutRecord(order, status.ok.to_step(), status.ok.begun_ms))
+
+
+def encode_rollout_status(record: RolloutRecord, reason: str) -> dict[str, Any]:
+    """Encodes the status of a roll-out.
+
+    Args:
+        record: The roll-out, whose step is set.
+        reason: Why it is at this step, for operators.
+    """
+    assert record.step is not None
+    state = record.step.value if record.step.is_final else "running"
+    return {
+        "state": state,
+        "to": record.order.to,
+        "step": record.step.value,
+        "begunMs": record.begun_ms,
+        "reason": reason,
+    }
+
+
 def decode_desired_state(document: Any) -> Result[DesiredState, list[Finding]]:
     """Decodes a desired state document.
 
@@ -302,6 +378,7 @@
         evacuations=EVACUATION_KIND,
         relays="wasabimux-relays",
         leases="wasabimux-leases",
+        rollouts=ROLLOUT_KIND,
         quarantines="wasabimux-quarantines",
         streams="wasabimux-streams",
     )
@@ -310,6 +387,14 @@
         """Decodes a desired state."""
         return decode_desired_state(value)
 
+    def rollout(self, value: Any) -> Result[RolloutRecord, list[Finding]]:
+        """Decodes a roll-out."""
+        return decode_rollout(value)
+
+    def rollout_status(self, record: RolloutRecord, reason: str) -> dict[str, Any]:
+        """Encodes the status of a roll-out."""
+        return encode_rollout_status(record, reason)
+
     def upstream(self, name: str, value: Any) -> Result[UpstreamRecord, list[Finding]]:
         """Decodes the entry of an upstream."""
         return decode_upstream(name, value)
--- a/wasabimux/platform/objects.py
+++ b/wasabimux/platform/objects.py
@@ -27,35 +27,41 @@
     return None
 
 
-def decode_objects(items: Any, era: int) -> Iterator[PlatformObject]:
+def decode_objects(
+    items: Any, era: int, with_status: bool = False
+) -> Iterator[PlatformObject]:
     """Yields the objects in a list, except items without a name and a revision.
 
     Args:
         items: Items of a decoded list, each of which may be any value.
         era: Era of the store.
+        with_status: True for values with the `spec` and `status` of an object.
 
     Raises:
         StoreUnavailable: The items are no list.
     """
     for item in _check_list(items):
-        platform_object = _decode_object(item, era)
+        platform_object = _decode_object(item, era, with_status)
         if platform_object is not None:
             yield platform_object
 
 
-def decode_changes(events: Any, era: int) -> Iterator[ObjectChange]:
+def decode_changes(
+    events: Any, era: int, with_status: bool = False
+) -> Iterator[ObjectChange]:
     """Yields the changes in the events of a watch, except those without an object.
 
     Args:
         events: Decoded events, each of which may be any value.
         era: Era of the store.
+        with_status: As for decode_objects.
 
     Raises:
         StoreUnavailable: The events are no list.
     """
     for event in _check_list(events):
         item = event.get("object") if isinstance(event, dict) else event
-        platform_object = _decode_object(item, era)
+        platform_object = _decode_object(item, era, with_status)
         if platform_object is not None:
             yield ObjectChange(platform_object, bool(event.get("deleted")))
 
@@ -92,7 +98,7 @@
     return value
 
 
-def _decode_object(item: Any, era: int) -> PlatformObject | None:
+def _decode_object(item: Any, era: int, with_status: bool) -> PlatformObject | None:
     """Returns an object; None if the item has no name or no revision.
 
     An object without a value, or with one out of bounds, has None as its value, which
@@ -108,6 +114,8 @@
         logger.warning("event=object_unreadable reason=revision name=%a", name)
         return None
     value = item.get("spec")
+    if with_status:
+        value = {"spec": value, "status": item.get("status")}
     if not is_within_bounds(value):
         logger.warning("event=object_unreadable reason=value name=%a", name)
         value = None
--- a/wasabimux/platform/standins/store.py
+++ b/wasabimux/platform/standins/store.py
@@ -126,10 +126,15 @@
         stored = self._objects_by_kind.get(kind, {}).get(name)
         return None if stored is None else stored["spec"]
 
-    async def _write(self, kind: str, name: str, spec: Any) -> int:
+    def status(self, kind: str, name: str) -> Any:
+        """Returns the status of an object, None without an object or a status."""
+        stored = self._objects_by_kind.get(kind, {}).get(name)
+        return None if stored is None else stored["status"]
+
+    async def _write(self, kind: str, name: str, spec: Any, status: Any = None) -> int:
         self.revision += 1
         metadata = {"name": name, "revision": self.revision, "finalizers": []}
-        stored = {"metadata": metadata, "spec": spec, "status": None}
+        stored = {"metadata": metadata, "spec": spec, "status": status}
         self._objects_by_kind.setdefault(kind, {})[name] = stored
         await self._record_change(kind, stored, deleted=False)
         return self.revision
@@ -226,7 +231,7 @@
     ) -> HttpResponse:
         objects = self._objects_by_kind.setdefault(kind, {})
         metadata = document.get("metadata", {})
-        name = name or metadata["name"]
+        name, _, part = (name or metadata["name"]).partition("/")
         stored = objects.get(name)
         expected_revision = metadata.get("revision") or request.query.get("revision")
         if request.method == "POST" and stored is not None:
@@ -239,5 +244,10 @@
         if request.method == "DELETE":
             await self.remove(kind, name)
             return json_response(200, {"metadata": {"revision": self.revision}})
-        await self._write(kind, name, document.get("spec"))
+        spec, status = document.get("spec"), None
+        if stored is not None:
+            status = stored["status"]
+        if part == "status" and stored is not None:
+            spec, status = stored["spec"], document.get("status")
+        await self._write(kind, name, spec, status)
         return json_response(200, objects[name])
--- a/wasabimux/platform/store.py
+++ b/wasabimux/platform/store.py
@@ -13,6 +13,7 @@
 from wasabimux.adapters.http_client import HttpClient
 from wasabimux.ids import NO_REVISION, StoreRevision
 from wasabimux.json_documents import DocumentError, decode_collection
+from wasabimux.platform.documents import ROLLOUT_KIND
 from wasabimux.platform.objects import (
     date_removals,
     decode_changes,
@@ -34,6 +35,9 @@
 ERA_HEADER = b"store-era"
 ERA = re.compile(rb"[0-9]{1,9}")
 
+#: Kinds whose objects are read with the status that this system writes.
+KINDS_WITH_STATUS = frozenset({ROLLOUT_KIND})
+
 JSON_HEADERS: Headers = [(b"content-type", b"application/json")]
 
 
@@ -92,7 +96,8 @@
             answer = await self._call("GET", _path(kind) + query)
             response = _check_response(answer)
             items = response.get("items") or []
-            page = list(decode_objects(items, answer.era))
+            with_status = kind in KINDS_WITH_STATUS
+            page = list(decode_objects(items, answer.era, with_status))
             objects.extend(page)
             if first_revision == NO_REVISION:
                 first_revision = _store_revision(answer)
@@ -119,7 +124,8 @@
         if answer.status == 410 or answer.era != after.era:
             raise HistoryLost(kind)
         response = _check_response(answer)
-        changes = list(decode_changes(response.get("events") or [], answer.era))
+        events, with_status = response.get("events") or [], kind in KINDS_WITH_STATUS
+        changes = list(decode_changes(events, answer.era, with_status))
         revision = _store_revision(answer)
         return ObjectChanges(date_removals(changes, revision), revision)
 
@@ -144,6 +150,22 @@
         self._check_era(revision)
         return _decode_revision(answer)
 
+    async def write_status(
+        self, kind: str, name: str, status: Any, revision: StoreRevision
+    ) -> StoreRevision:
+        """Replaces the status of an object if it has the given revision.
+
+        Raises:
+            StoreConflict: It has another revision, or the store was restored.
+        """
+        self._check_era(revision)
+        metadata = {"name": name, "revision": revision.number}
+        document = {"metadata": metadata, "status": status}
+        target = f"{_path(kind, name)}/status"
+        answer = await self._call("PUT", target, 0.0, document)
+        self._check_era(revision)
+        return _decode_revision(answer)
+
     async def delete(self, kind: str, name: str, revision: StoreRevision) -> None:
         """Deletes an object if it exists and has the given revision."""
         self._check_era(revision)
--- a/wasabimux/relay/context.py
+++ b/wasabimux/relay/context.py
@@ -77,6 +77,7 @@
         response_started: True once a part of the response was passed to the client.
         software: Software version at which the stream may go on, None before it begins.
         trial_of: Quarantined suspects that this request may try.
+        is_on_trial: True if its first attempt goes to a new software version.
     """
 
     metadata: RequestMetadata
@@ -101,6 +102,7 @@
     response_started: bool = False
     software: SoftwareVersion | None = None
     trial_of: frozenset[SuspectId] | None = None
+    is_on_trial: bool = False
     _content_digest: str = ""
     _timeout: asyncio.Timeout | None = None
 
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -21,15 +21,19 @@
 from wasabimux.relay.prefill import PrefillDispatcher
 from wasabimux.relay.quarantine import RequestQuarantine
 from wasabimux.relay.records import RequestEventRecorder
+from wasabimux.relay.rollouts import Rollouts
 from wasabimux.relay.slots import DecodeSlot, SlotScheduler
 from wasabimux.relay.stream_records import StreamRecords
 from wasabimux.relay.stream_retries import StreamRetries
-from wasabimux.relay.stream_start import StreamStarter
+from wasabimux.relay.stream_start import STATUS_OK, StreamStarter
 from wasabimux.relay.upstreams import Upstream
 
 #: Most prefill engines that one attempt sends the prompt to.
 MAX_PREFILL_ATTEMPTS = 2
 
+#: Codes of errors with which an engine's answer was lost or not valid.
+LOST_ANSWER_CODES = frozenset({ErrorCode.UPSTREAM_LOST, ErrorCode.UPSTREAM_FAILED})
+
 #: Delay before clients may take up a stream again whose software version is not known
 #: or has no engine; one that crashed is back after some seconds.
 VERSION_RETRY_AFTER_S = 1.0
@@ -43,6 +47,7 @@
         slot_scheduler: Reserves decode slots.
         migrator: Migrates streams off engines whose memory is nearly full.
         quarantine: Refuses requests on which engines crash.
+        rollouts: Learns how software versions answer.
         stream_records: Knows the software versions of streams.
         prefill_dispatcher: Prefills prompts.
         answers: Sends requests and receives their answers.
@@ -58,6 +63,7 @@
         slot_scheduler: SlotScheduler,
         migrator: StreamMigrator,
         quarantine: RequestQuarantine,
+        rollouts: Rollouts,
         stream_records: StreamRecords,
         prefill_dispatcher: PrefillDispatcher,
         answers: AnswerReceiver,
@@ -73,6 +79,7 @@
         self._slot_scheduler = slot_scheduler
         self._migrator = migrator
         self._quarantine = quarantine
+        self._rollouts = rollouts
         self._stream_records = stream_records
         self._header_codec = header_codec
         self._retries = StreamRetries(quarantine, budgets, recorder)
@@ -227,8 +234,15 @@
         request.tried_upstreams.append(engine.id)
         slot.request_sent = True
         progress.engines = self._engines_for(request)
-        stream = await self._starter.start(request, slot, kv_source, progress)
+        sent_s = loop_time()
+        try:
+            stream = await self._starter.start(request, slot, kv_source, progress)
+        except RefusedError as error:
+            if error.refusal.code in LOST_ANSWER_CODES:
+                self._rollouts.on_lost(request, engine)
+            raise
         slot.on_first_event(loop_time())
+        self._rollouts.on_answer(request, engine, STATUS_OK, loop_time() - sent_s)
         request.software = software
         if request.route.resumable:
             self._stream_records.on_begun(request, software)
@@ -326,6 +340,10 @@
         self, request: RelayRequest, stream: EngineStream, progress: StreamProgress
     ) -> None:
         stream.slot.completed = True
+        first_event_s = stream.slot.first_event_s
+        if first_event_s is not None and progress.events > 1:
+            pace_s = (loop_time() - first_event_s) / (progress.events - 1)
+            self._rollouts.on_stream_end(request, stream.slot.upstream, pace_s)
         self._recorder.record(
             request,
             "answered",
@@ -372,6 +390,7 @@
     ) -> None:
         engine = stream.slot.upstream
         engine.health.on_failure(loop_time())
+        self._rollouts.on_lost(request, engine)
         if not stream.has_begun and not isinstance(
             error, (UpstreamStalled, StreamMismatch)
         ):
--- a/wasabimux/relay/model.py
+++ b/wasabimux/relay/model.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from wasabimux.decisions.rate import RateLimit
+from wasabimux.decisions.rollout import RolloutOrder, RolloutStep
 from wasabimux.ids import (
     FailureDomainId,
     PromptPartId,
@@ -189,6 +190,20 @@
     keys_required: bool
 
 
+class RolloutRecord(NamedTuple):
+    """A roll-out that an operator has ordered.
+
+    Attributes:
+        order: The order.
+        step: Step that it has reached, None if nothing was written yet.
+        begun_ms: Time of day of the order in ms since the epoch, 0 if unknown.
+    """
+
+    order: RolloutOrder
+    step: RolloutStep | None = None
+    begun_ms: int = 0
+
+
 class UpstreamRecord(NamedTuple):
     """Entry that an upstream has registered in the platform's store.
 
--- a/wasabimux/relay/placing.py
+++ b/wasabimux/relay/placing.py
@@ -80,6 +80,10 @@
         desired = self._view.desired_state
         return None if desired is None else desired.service_by_name.get(name)
 
+    def of_service(self, service: str) -> list[Upstream]:
+        """Returns the upstreams of a service by its name, whatever their state."""
+        return self._pool.of_service(service)
+
     def by_id(self, upstream: UpstreamId) -> Upstream | None:
         """Returns an upstream by its identity, None if there is none."""
         return self._pool.by_id.get(upstream)
--- a/wasabimux/relay/plain.py
+++ b/wasabimux/relay/plain.py
@@ -12,6 +12,7 @@
 from wasabimux.decisions.log_sampling import LogSampler
 from wasabimux.decisions.retry_window import ServiceRetryBudgets
 from wasabimux.errors import NOT_RUN_STATUSES, ErrorCode, Ran, RefusedError
+from wasabimux.ids import UpstreamId
 from wasabimux.ports import Headers, UpstreamLost
 from wasabimux.relay.answers import AnswerReceiver, UpstreamAnswer
 from wasabimux.relay.context import RESPONSE_MARGIN_S, RelayRequest
@@ -19,6 +20,7 @@
 from wasabimux.relay.ports import HeaderCodec
 from wasabimux.relay.quarantine import RequestQuarantine
 from wasabimux.relay.records import RequestEventRecorder
+from wasabimux.relay.rollouts import Rollouts
 from wasabimux.relay.upstreams import Upstream
 
 STATUS_SERVER_ERROR = 500
@@ -65,6 +67,7 @@
     Args:
         selector: Chooses upstreams.
         quarantine: Refuses calls on which upstreams crash.
+        rollouts: Divides calls between software versions.
         answers: Sends calls and receives their answers.
         header_codec: Encodes the headers of responses.
         retries: Retry budgets.
@@ -76,6 +79,7 @@
         self,
         selector: UpstreamSelector,
         quarantine: RequestQuarantine,
+        rollouts: Rollouts,
         answers: AnswerReceiver,
         header_codec: HeaderCodec,
         retries: ServiceRetryBudgets,
@@ -87,6 +91,7 @@
         self._sampler = LogSampler(MAX_ANSWERED_EVENTS_PER_S)
         self._selector = selector
         self._quarantine = quarantine
+        self._rollouts = rollouts
         self._answers = answers
         self._header_codec = header_codec
         self._retries = retries
@@ -222,14 +227,14 @@
             RefusedError: No upstream takes the call, or none in time.
         """
         now = loop_time()
-        service, tried = request.service, request.tried_upstreams
-        upstream = self._selector.choose_plain(service, now, tried)
+        service, avoid = request.service, self._avoided(request, now)
+        upstream = self._selector.choose_plain(service, now, avoid)
         if upstream is not None:
             self._selector.on_send(upstream, service)
             return upstream
         max_wait_s = MAX_TURN_WAIT_FRACTION * request.route.target_latency_s
         latest_s = min(now + max_wait_s, request.deadline_s)
-        turn = self._selector.claim_turn(service, now, latest_s, tried)
+        turn = self._selector.claim_turn(service, now, latest_s, avoid)
         if turn is None:
             raise self._no_upstream_error(request, now)
         await asyncio.sleep(turn.at_s - now)
@@ -238,6 +243,10 @@
             raise self._no_upstream_error(request, now)
         return turn.upstream
 
+    def _avoided(self, request: RelayRequest, now: float) -> list[UpstreamId]:
+        """Returns the upstreams that a call must not be sent to."""
+        return [*request.tried_upstreams, *self._rollouts.excluded(request, now)]
+
     def _pause_left_s(self, request: RelayRequest, now: float) -> float | None:
         return self._selector.pause_left_s(request.service.name, now)
 
@@ -248,9 +257,8 @@
             return request.refusal_error(
                 ErrorCode.NO_UPSTREAM, ALL_PAUSE_TEXT, pause_left_s
             )
-        wait_s = self._selector.turn_wait_s(
-            request.service, now, request.tried_upstreams
-        )
+        avoid = self._avoided(request, now)
+        wait_s = self._selector.turn_wait_s(request.service, now, avoid)
         retry_after_s = max(RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, wait_s or 0.0))
         return request.refusal_error(
             ErrorCode.NO_UPSTREAM,
@@ -321,6 +329,7 @@
             return response
         if response.verdict is not AnswerVerdict.RAN:
             upstream.health.on_failure(now)
+            self._rollouts.on_lost(request, upstream)
             self._recorder.record_answer(
                 request, "answer_refused", upstream, response.status, metadata
             )
@@ -330,6 +339,7 @@
             )
         request.has_run = True
         self._quarantine.on_run_begun(request)
+        self._rollouts.on_answer(request, upstream, response.status, latency_s)
         if response.status in NOT_RUN_STATUSES or (
             response.status >= STATUS_SERVER_ERROR
         ):
@@ -365,6 +375,7 @@
         if error.sent:
             upstream.health.on_failure(now)
             self._quarantine.on_run_lost(request, upstream)
+            self._rollouts.on_lost(request, upstream)
         else:
             upstream.health.on_unreachable(now)
         self._recorder.record(
--- a/wasabimux/relay/ports.py
+++ b/wasabimux/relay/ports.py
@@ -13,6 +13,7 @@
 from wasabimux.relay.model import (
     DesiredState,
     RequestMetadata,
+    RolloutRecord,
     SendOptions,
     UpstreamNotice,
     UpstreamRecord,
@@ -119,6 +120,16 @@
                 restored since; the write may then have replaced another one.
         """
 
+    async def write_status(
+        self, kind: str, name: str, status: Any, revision: StoreRevision
+    ) -> StoreRevision:
+        """Replaces the status of an object and returns its new revision.
+
+        Raises:
+            StoreConflict: The object does not have the given revision, or the store was
+                restored since.
+        """
+
     async def delete(self, kind: str, name: str, revision: StoreRevision) -> None:
         """Deletes an object.
 
@@ -136,6 +147,7 @@
         upstreams: Kind of the upstreams' entries, each named by its identity.
         evacuations: Kind of the evacuations, each named by a failure domain that
             receives no requests.
+        rollouts: Kind of the roll-outs, each named by its service.
         relays: Kind of the relays' entries.
         leases: Kind of the leases of tasks that one relay performs at a time.
         quarantines: Kind of the quarantines.
@@ -146,6 +158,7 @@
     desired_state_name: str
     upstreams: str
     evacuations: str
+    rollouts: str
     relays: str
     leases: str
     quarantines: str
@@ -162,6 +175,12 @@
     def desired_state(self, value: Any) -> Result[DesiredState, list[Finding]]:
         """Decodes a desired state."""
 
+    def rollout(self, value: Any) -> Result[RolloutRecord, list[Finding]]:
+        """Decodes a roll-out, whose value holds its order and its status."""
+
+    def rollout_status(self, record: RolloutRecord, reason: str) -> dict[str, Any]:
+        """Encodes the status of a roll-out."""
+
     def upstream(self, name: str, value: Any) -> Result[UpstreamRecord, list[Finding]]:
         """Decodes the entry of an upstream."""
 
--- a/wasabimux/relay/prefill.py
+++ b/wasabimux/relay/prefill.py
@@ -18,6 +18,7 @@
 from wasabimux.relay.ports import EngineCodec
 from wasabimux.relay.quarantine import RequestQuarantine
 from wasabimux.relay.records import RequestEventRecorder
+from wasabimux.relay.rollouts import Rollouts
 from wasabimux.relay.upstreams import Upstream
 
 #: Timeout of a prefill: its expected duration times a factor, plus a margin.
@@ -39,6 +40,7 @@
     Args:
         selector: Lists engines that may take requests.
         quarantine: Keeps prompts off prefill engines that crash on them.
+        rollouts: Divides requests between software versions.
         answers: Sends prompts and receives the answers.
         engine_codec: Decodes responses of engines.
         retries: Retry budgets.
@@ -52,6 +54,7 @@
         self,
         selector: UpstreamSelector,
         quarantine: RequestQuarantine,
+        rollouts: Rollouts,
         answers: AnswerReceiver,
         engine_codec: EngineCodec,
         retries: ServiceRetryBudgets,
@@ -63,6 +66,7 @@
         self._rng = rng
         self._selector = selector
         self._quarantine = quarantine
+        self._rollouts = rollouts
         self._answers = answers
         self._engine_codec = engine_codec
         self._retries = retries
@@ -79,11 +83,12 @@
         """
         if not self._quarantine.may_prefill(request):
             return None
-        service = request.service
+        service, now = request.service, loop_time()
+        avoid = self._rollouts.excluded(request, now, Phase.PREFILL)
         engine_by_id = {
             engine.id: engine
             for engine in self._selector.engines(
-                service.name, Phase.PREFILL, loop_time(), []
+                service.name, Phase.PREFILL, now, avoid
             )
             if self._selector.may_send(engine, service)
         }
--- a/wasabimux/relay/process.py
+++ b/wasabimux/relay/process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import os
 import random
 import signal
 from collections.abc import AsyncGenerator, Callable
@@ -27,7 +28,7 @@
 from wasabimux.relay.relay import Relay, RelayPlatform
 from wasabimux.settings.address import parse_address
 from wasabimux.settings.findings import read_document
-from wasabimux.settings.process import RelaySettings
+from wasabimux.settings.process import RelaySettings, relay_environment
 from wasabimux.timeline import Timeline
 
 #: Time in s after SIGTERM in which new connections are still served: load balancers
@@ -155,7 +156,7 @@
 
 def _check_settings(path: Path, timeline: Timeline) -> None:
     """Reads and checks the settings file; new settings apply only after a restart."""
-    checked = read_document(RelaySettings, path)
+    checked = read_document(RelaySettings, path, relay_environment(os.environ))
     if checked.is_error():
         for finding in checked.error:
             timeline.record("settings_refused", finding=finding)
@@ -175,6 +176,7 @@
         "evacuated": sorted(relay.view.evacuated_domains),
         "peers": sorted(relay.mesh.membership.peer_by_address),
         "waiting": relay.slots.waiting,
+        "rollouts": relay.rollouts.status,
         "upstreams": {
             upstream.id: {
                 "service": upstream.record.service,
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -17,6 +17,7 @@
 )
 from wasabimux.adapters.relay_metrics import RelayMetrics
 from wasabimux.decisions.aggregation import FleetUsage
+from wasabimux.decisions.exposure import ExposureLimits
 from wasabimux.decisions.retry_window import RetryLimits, ServiceRetryBudgets
 from wasabimux.decisions.shared_bucket import RateTolerance, ReplicatedRateLimiter
 from wasabimux.decisions.shutdown import ShutdownDemand, can_end_in_time
@@ -56,6 +57,7 @@
 from wasabimux.relay.quarantine_store import QuarantineStore
 from wasabimux.relay.records import RequestEventRecorder
 from wasabimux.relay.registration import Registration
+from wasabimux.relay.rollouts import Rollouts
 from wasabimux.relay.slots import SlotScheduler
 from wasabimux.relay.stream_records import StreamRecords
 from wasabimux.relay.upstreams import Upstream, UpstreamPool
@@ -123,6 +125,7 @@
         http_server: Server whose limits follow the desired state, None if unset.
         quarantine: Requests on which upstreams crash.
         stream_records: Software versions of streams.
+        rollouts: Roll-outs of new software versions.
         membership_settled: True once the relay can be taken to know all others.
     """
 
@@ -184,9 +187,20 @@
         self._active: set[RelayRequest] = set()
         self._ends_s: float | None = None
         records = self._records = RequestEventRecorder(timeline)
+        self.rollouts = Rollouts(
+            ExposureLimits(settings.exposure_share, settings.exposure_slack),
+            self.view,
+            self.selector,
+            self.mesh,
+            platform.store,
+            platform.document_decoder,
+            timeline,
+            rng,
+        )
         self.slots = SlotScheduler(
             self.selector,
             self.slot_arbiter,
+            self.rollouts,
             platform.engine_codec,
             timeline,
             estimates,
@@ -222,6 +236,7 @@
         self._plain_handler = PlainCallHandler(
             self.selector,
             self.quarantine,
+            self.rollouts,
             answers,
             platform.header_codec,
             self.retries,
@@ -236,10 +251,12 @@
             self.slots,
             self._stream_migrator,
             self.quarantine,
+            self.rollouts,
             self.stream_records,
             PrefillDispatcher(
                 self.selector,
                 self.quarantine,
+                self.rollouts,
                 answers,
                 platform.engine_codec,
                 self.retries,
@@ -255,6 +272,9 @@
             metrics,
         )
         kinds = platform.document_decoder.kinds
+        watched = [kinds.desired_state, kinds.upstreams, kinds.evacuations]
+        if settings.exposure_share > 0:
+            watched.append(kinds.rollouts)
         self._watchers = [
             ObjectWatcher(
                 kind,
@@ -265,7 +285,7 @@
                 self._watcher_count,
                 lambda: self.mesh.membership.is_informed_by_peer(loop_time()),
             )
-            for kind in (kinds.desired_state, kinds.upstreams, kinds.evacuations)
+            for kind in watched
         ]
         self._registration = Registration(
             kinds.relays,
@@ -354,6 +374,7 @@
             raise
         kind = admitted.route.request_kind.value
         self.retries.for_service(admitted.service.name).on_request(now)
+        self.rollouts.on_request(admitted)
         self._active.add(admitted)
         try:
             self._check_shutdown(admitted, now)
@@ -455,7 +476,10 @@
             or upstream.health.is_backing_off(now)
         }
         return Usage(
-            self._buckets.local_usage(now), load_by_upstream, self.slots.waiting
+            self._buckets.local_usage(now),
+            load_by_upstream,
+            self.slots.waiting,
+            self.rollouts.samples(),
         )
 
     def _is_store_reachable(self) -> bool:
@@ -483,6 +507,7 @@
                     header_timeout_s=desired.limits.header_timeout_s,
                     idle_timeout_s=desired.limits.idle_timeout_s,
                 )
+        self.rollouts.on_view_changed(now)
         self.mesh.on_view_changed()
         self.slots.wake()
 
@@ -536,6 +561,7 @@
             check_started_s = loop_time()
             await asyncio.sleep(CHECK_INTERVAL_S)
             now = loop_time()
+            await self.rollouts.check(now)
             self._update_gauges(now, now - check_started_s - CHECK_INTERVAL_S)
             self.view.drop_expired(now)
             relay_count, silent_count = self.mesh.relay_counts()
@@ -572,6 +598,7 @@
         leaving = sum(item.leaving for item in upstreams)
         paused = sum(item.pause.is_active(now) for item in upstreams)
         self._metrics.set_state("paused_upstreams", paused)
+        self._metrics.set_state("rollouts_running", self.rollouts.running)
         self._metrics.set_state("leaving_upstreams", leaving)
 
     def _record_refusal(self, error: RefusedError, age_s: float) -> None:
--- a/wasabimux/relay/slots.py
+++ b/wasabimux/relay/slots.py
@@ -27,6 +27,7 @@
 from wasabimux.relay.owners import SlotArbiter, SlotLease
 from wasabimux.relay.placing import ALL_PAUSE_TEXT, UpstreamSelector
 from wasabimux.relay.ports import EngineCall, EngineCodec
+from wasabimux.relay.rollouts import Rollouts
 from wasabimux.relay.upstreams import RunningStream, Upstream
 from wasabimux.timeline import Timeline
 
@@ -120,6 +121,7 @@
     Args:
         selector: Selects engines.
         arbiter: Requests grants of slots from the owners of engines.
+        rollouts: Divides streams between software versions.
         engines: Encodes calls to engines.
         timeline: Records decisions.
         estimates: Estimated length and speed of streams.
@@ -132,6 +134,7 @@
         self,
         selector: UpstreamSelector,
         arbiter: SlotArbiter,
+        rollouts: Rollouts,
         engines: EngineCodec,
         timeline: Timeline,
         estimates: StreamEstimates,
@@ -141,6 +144,7 @@
     ) -> None:
         self._selector = selector
         self._arbiter = arbiter
+        self._rollouts = rollouts
         self._engines = engines
         self._estimates = estimates
         self._metrics = metrics
@@ -319,10 +323,12 @@
     def _choose_engine(self, item: _QueuedStream, now: float) -> Upstream | None:
         service = item.request.service
         assert service.engine is not None
+        excluded = self._rollouts.excluded(item.request, now, Phase.DECODE)
+        avoid = [*item.avoid, *excluded]
         engines = {
             engine.id: engine
             for engine in self._selector.engines(
-                service.name, Phase.DECODE, now, item.avoid, item.request.software
+                service.name, Phase.DECODE, now, avoid, item.request.software
             )
             if engine.full_until_s <= now and self._selector.may_send(engine, service)
         }
--- a/wasabimux/relay/view.py
+++ b/wasabimux/relay/view.py
@@ -14,7 +14,12 @@
 
 from wasabimux.decisions.route_table import RouteTable
 from wasabimux.ids import NO_REVISION, FailureDomainId, StoreRevision, UpstreamId
-from wasabimux.relay.model import DesiredState, RelayRoute, UpstreamRecord
+from wasabimux.relay.model import (
+    DesiredState,
+    RelayRoute,
+    RolloutRecord,
+    UpstreamRecord,
+)
 from wasabimux.relay.ports import DocumentDecoder, ObjectChange, PlatformObject
 from wasabimux.timeline import Timeline
 
@@ -33,6 +38,22 @@
     value: Any
 
 
+class KnownRollout(NamedTuple):
+    """The newest known state of a roll-out.
+
+    Attributes:
+        name: Name of its object.
+        revision: Revision of the object, under which its status is written.
+        record: The decoded object.
+        is_withdrawn: True if the object was removed.
+    """
+
+    name: str
+    revision: StoreRevision
+    record: RolloutRecord
+    is_withdrawn: bool = False
+
+
 #: Time in s after a restore of the store within which objects that it lacks are written
 #: again, if whoever wrote them still wants them.
 REWRITE_GRACE_S = 2.2
@@ -68,6 +89,7 @@
         routes: Table of the routes in the desired state.
         upstream_by_id: Entries of all upstreams.
         evacuated_domains: Failure domains that get no requests.
+        rollout_by_service: Roll-outs by their service.
         era: Era of the newest known revision.
         revision_by_kind: Revision up to which each kind of object is complete.
         last_change_by_kind: Revision of the last known change of each kind of object.
@@ -86,6 +108,7 @@
         self.routes: RouteTable[RelayRoute] = RouteTable(())
         self.upstream_by_id: dict[UpstreamId, UpstreamRecord] = {}
         self.evacuated_domains: set[FailureDomainId] = set()
+        self.rollout_by_service: dict[str, KnownRollout] = {}
         self.era = 0
         self.revision_by_kind: dict[str, StoreRevision] = {}
         self.last_change_by_kind: dict[str, StoreRevision] = {}
@@ -294,6 +317,8 @@
         elif kind == kinds.evacuations:
             domain = FailureDomainId(name)
             self._apply_evacuation(domain, cached, keep_missing_until_s)
+        elif kind == kinds.rollouts:
+            self._apply_rollout(name, cached)
 
     def _apply_desired_state(self, cached: CachedObject) -> None:
         if cached.deleted:
@@ -320,6 +345,32 @@
             routes=len(desired.routes),
         )
 
+    def _apply_rollout(self, name: str, cached: CachedObject) -> None:
+        """Applies an order; what a withdrawn one has reached is remembered."""
+        if cached.deleted:
+            for service, known in self.rollout_by_service.items():
+                if known.name == name:
+                    withdrawn = known._replace(is_withdrawn=True)
+                    self.rollout_by_service[service] = withdrawn
+                    self._timeline.record("rollout_withdrawn", service=service)
+            return
+        decoded = self._documents.rollout(cached.value)
+        if decoded.is_error():
+            for finding in decoded.error:
+                self._timeline.record("rollout_refused", rollout=name, finding=finding)
+            return
+        record = decoded.ok
+        known = KnownRollout(name, cached.revision, record)
+        self.rollout_by_service[record.order.service] = known
+        self._timeline.record(
+            "rollout_seen",
+            service=record.order.service,
+            to=record.order.to,
+            limit_s=record.order.limit_s,
+            step=record.step.value if record.step else "",
+            revision=cached.revision,
+        )
+
     def _apply_upstream(
         self,
         name: str,
--- a/wasabimux/settings/findings.py
+++ b/wasabimux/settings/findings.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, NamedTuple, TypeVar
 
@@ -73,13 +74,14 @@
 
 
 def read_document(
-    model: type[ModelType], path: Path
+    model: type[ModelType], path: Path, defaults: Mapping[str, str] | None = None
 ) -> Result[ModelType, list[Finding]]:
     """Reads a JSON file and validates it.
 
     Args:
         model: Model of the whole document.
         path: Path of the file.
+        defaults: Fields that hold where the document does not have them.
 
     Returns:
         The validated model, or all findings.
@@ -90,6 +92,8 @@
         return Error([Finding("$", error.strerror or "an error", "a readable file")])
     except DocumentError as error:
         return Error([Finding("$", str(error), "a JSON document")])
+    if defaults and isinstance(document, dict):
+        document = {**defaults, **document}
     return check_document(model, document)
 
 
--- a/wasabimux/settings/process.py
+++ b/wasabimux/settings/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from enum import Enum
 from pathlib import Path
 from typing import Self
@@ -11,6 +12,13 @@
 from wasabimux.settings.address import Address
 from wasabimux.settings.fleet import SettingsModel
 
+#: Fields of a relay's settings that environment variables can give as well. A field of
+#: the settings file goes before its variable.
+FIELD_BY_VARIABLE = {
+    "RELAY_EXPOSURE_SHARE": "exposure_share",
+    "RELAY_EXPOSURE_SLACK": "exposure_slack",
+}
+
 
 class Role(Enum):
     """Role of a daemon process."""
@@ -134,6 +142,9 @@
         rate_overage: Fraction by which a workspace may exceed its limit in a window.
         rate_slack: Tokens by which a workspace may exceed its limit in addition.
         order_lease_ms: Length of the leader lease for phase change commands, in ms.
+        exposure_share: Fraction of a service's requests that a bad software version may
+            get during a roll-out; 0 to take no roll-outs.
+        exposure_slack: Requests that it may get in addition.
     """
 
     callers: Address
@@ -150,3 +161,18 @@
     rate_overage: float = Field(default=0.0, ge=0)
     rate_slack: float = Field(default=0.0, ge=0)
     order_lease_ms: float = Field(default=3_000.0, gt=0)
+    exposure_share: float = Field(default=0.0, ge=0, le=1)
+    exposure_slack: float = Field(default=0.0, ge=0)
+
+
+def relay_environment(environment: Mapping[str, str]) -> dict[str, str]:
+    """Returns the fields of a relay's settings that the environment gives.
+
+    Args:
+        environment: Environment variables; empty ones count as unset.
+    """
+    return {
+        field: environment[variable]
+        for variable, field in FIELD_BY_VARIABLE.items()
+        if environment.get(variable)
+    }
