Give calls of busy plain services places from one line for all relays

Change: one relay owns the line of a service; while upstreams that tell how slow they are are busy, calls ask it for a place. Those that can be on time go first. The hold of a place gives capacity and limit by Little's law.

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,8 @@
 	$(BIN)/python -m benchmarks.rate
 	$(BIN)/python -m benchmarks.load
 	$(BIN)/python -m benchmarks.domain
+	$(BIN)/python -m benchmarks.calls
+	$(BIN)/python -m benchmarks.rollout
 
 slopes: $(VENV)/.installed
 	$(BIN)/python -m benchmarks.slopes
--- a/tests/test_answers_of_upstreams.py
+++ b/tests/test_answers_of_upstreams.py
@@ -105,7 +105,7 @@
         upstream = stutters(lambda item: not_run(status, item.id))
         async with raw_upstream(cluster, DESKS, upstream):
             await ask(cluster, "/unsafe/1", "r1")
-            cluster.relays[0].relay.pool.by_id["raw"].misdirected = False
+            cluster.relays[0].relay.pool.by_id["raw"].on_accepted()
             got, _, body = await ask(cluster, "/unsafe/2", "r2")
     ids = [item.id for item in upstream.requests]
     assert ids.count(b"r2") == 1
@@ -165,7 +165,7 @@
         async with raw_upstream(cluster, DECODERS, upstream):
             await ask(cluster, path, "s1", **TOKENS)
             raw = cluster.relays[0].relay.pool.by_id["raw"]
-            raw.misdirected = False
+            raw.on_accepted()
             raw.health.on_success(0.0, 0.0)
             got, _, body = await ask(cluster, path, "s2", **TOKENS)
     starts = [item for item in upstream.requests if item.id == b"s2"]
@@ -232,7 +232,7 @@
             await cluster.store.remove("servers", name)
         pool = cluster.relays[0].relay.pool
         await cluster.wait_until(lambda: "dec-3" not in pool.by_id)
-        pool.by_id["dec-1"].misdirected = True
+        pool.by_id["dec-1"].on_misdirected(0.0)
         for phase in ("prefill", "decode"):
             entry = engine.store_entry(phase=phase)
             await cluster.store.put("servers", "dec-1", entry)
--- a/tests/test_upstream_faults.py
+++ b/tests/test_upstream_faults.py
@@ -11,6 +11,7 @@
 import pytest
 
 from tests.relay_fixtures import relay_cluster
+from wasabimux._clock import loop_time
 from wasabimux.adapters.http_client import (
     MAX_INTERIM_RESPONSES,
     MAX_WHOLE_BODY_BYTES,
@@ -22,6 +23,7 @@
     HttpServer,
     json_response,
 )
+from wasabimux.ids import UpstreamId
 from wasabimux.ports import UpstreamLost
 from wasabimux.relay._events import MAX_EVENT_BYTES, SseSplitter
 from wasabimux.relay.stream_retries import STALL_TIMEOUT_S
@@ -273,3 +275,19 @@
         await asyncio.sleep(0.02)
         client._idle_connections[0]._reader.feed_data(response(b"/9"))
         assert await fetch(client, "/2") == b"/2"
+
+
+async def test_plain_upstream_comes_back_after_a_misdirected_answer() -> None:
+    """Regression: one 421 kept a plain upstream out of use at that relay for good."""
+    async with relay_cluster() as cluster:
+        pool = cluster.relays[0].relay.pool
+        for name in ("desk-1", "desk-2"):
+            pool.by_id[UpstreamId(name)].on_misdirected(loop_time())
+        async with await cluster.request("/safe/1", "r1") as response:
+            assert response.status == 503
+        async with asyncio.timeout(5.0):
+            await cluster.wait_until(
+                lambda: not any(item.misdirected for item in pool.by_id.values())
+            )
+        async with await cluster.request("/safe/1", "r2") as response:
+            assert response.status == 200
--- a/wasabimux/adapters/relay_metrics.py
+++ b/wasabimux/adapters/relay_metrics.py
@@ -35,7 +35,7 @@
         )
         self._step_seconds = Histogram(
             "wasabimux_step_seconds",
-            "Times of steps: slot_wait, prefill, first_event, call.",
+            "Times of steps: slot_wait, place_wait, prefill, first_event, call.",
             registry=registry,
             buckets=LATENCY_BUCKETS_S,
         )
@@ -53,7 +53,8 @@
             "wasabimux_relay_state",
             "State: peers, silent_peers, waiting_streams, quarantined_prompts, "
             "limited_upstreams, leaving_upstreams, paused_upstreams, "
-            "log_lines_dropped, loop_lag_seconds, rollouts_running.",
+            "log_lines_dropped, loop_lag_seconds, rollouts_running, "
+            "waiting_calls, given_places.",
             registry=registry,
         )
 
--- a/wasabimux/link/_relay_codec.py
+++ b/wasabimux/link/_relay_codec.py
@@ -11,6 +11,7 @@
 from wasabimux.decisions.memory_forecast import ZERO_FORECAST
 from wasabimux.decisions.shared_bucket import BucketUsage
 from wasabimux.decisions.stream_versions import StreamVersion
+from wasabimux.decisions.told_load import MAX_SLOWNESS, MIN_SLOWNESS, ToldLoad
 from wasabimux.decisions.usage_sums import UpstreamLoad, Usage
 from wasabimux.decisions.version_samples import AnswerSample, Measure, SampleKey
 from wasabimux.ids import SoftwareVersion, StoreRevision, SuspectId, UpstreamId
@@ -21,6 +22,10 @@
     ForwardedObject,
     ForwardedObjects,
     KindRevision,
+    PlaceRelease,
+    PlaceReply,
+    PlaceRequest,
+    PlaceState,
     RelayIdentity,
     RelayReport,
     SlotGrantReply,
@@ -32,6 +37,12 @@
 #: Values of the measures that this version knows.
 MEASURES = frozenset(measure.value for measure in Measure)
 
+#: Values of the states of a call in a line.
+PLACE_STATES = frozenset(state.value for state in PlaceState)
+
+#: Longest time in s that a call can be told to have taken.
+MAX_TOOK_S = 3_600.0
+
 MAX_UINT16 = 2**16 - 1
 MAX_UINT32 = 2**32 - 1
 
@@ -289,3 +300,68 @@
             for entry in item.endedCharges
         )
     )
+
+
+def encode_place_request(builder: Any, message: PlaceRequest) -> None:
+    """Encodes a request for a place at an upstream."""
+    target = builder.init("placeAsk")
+    target.number, target.service = message.correlation_id, message.service
+    target.workspace = message.workspace
+    target.priority = message.priority
+    target.beyondShare = message.beyond_share
+    target.cameBack = message.came_back
+    target.onTimeMs = int(1000 * message.on_time_s)
+    target.endMs = max(0, int(1000 * message.end_s))
+    target.avoid = list(message.avoid)
+
+
+def decode_place_request(item: Any) -> PlaceRequest:
+    """Decodes a request for a place at an upstream."""
+    source = item.placeAsk
+    return PlaceRequest(
+        source.number,
+        source.service,
+        source.workspace,
+        source.priority,
+        source.beyondShare,
+        source.cameBack,
+        source.onTimeMs / 1000,
+        source.endMs / 1000,
+        tuple(source.avoid),
+    )
+
+
+def encode_place_reply(builder: Any, message: PlaceReply) -> None:
+    """Encodes the reply to a request for a place."""
+    target = builder.init("placeAnswer")
+    target.number, target.state = message.correlation_id, message.state.value
+    target.upstream = message.upstream
+    target.retryMs = int(1000 * message.retry_after_s)
+
+
+def decode_place_reply(item: Any) -> PlaceReply:
+    """Decodes the reply to a request for a place; an unknown state is a wait."""
+    source = item.placeAnswer
+    known = source.state in PLACE_STATES
+    state = PlaceState(source.state) if known else PlaceState.WAITS
+    return PlaceReply(source.number, state, source.upstream, source.retryMs / 1000)
+
+
+def encode_place_release(builder: Any, message: PlaceRelease) -> None:
+    """Encodes the release of a place."""
+    target = builder.init("placeRelease")
+    target.number, target.tookMs = message.correlation_id, 1000 * message.took_s
+    if message.load is not None:
+        target.running, target.waiting, target.slots, target.slowness = message.load
+
+
+def decode_place_release(item: Any) -> PlaceRelease:
+    """Decodes the release of a place; a time that is no time counts as none."""
+    source = item.placeRelease
+    took_s = source.tookMs / 1000
+    if not 0.0 <= took_s <= MAX_TOOK_S:
+        took_s = 0.0
+    load = None
+    if source.slots and MIN_SLOWNESS <= source.slowness <= MAX_SLOWNESS:
+        load = ToldLoad(source.running, source.waiting, source.slots, source.slowness)
+    return PlaceRelease(source.number, took_s, load)
--- a/wasabimux/link/messages.py
+++ b/wasabimux/link/messages.py
@@ -13,6 +13,7 @@
 from wasabimux.decisions.ended_charges import EndedCharge
 from wasabimux.decisions.rate import GrantDecision, GrantReport
 from wasabimux.decisions.stream_versions import StreamVersion
+from wasabimux.decisions.told_load import ToldLoad
 from wasabimux.errors import ErrorCode, Ran, Refusal
 from wasabimux.ids import NO_REVISION, StoreRevision
 from wasabimux.ports import Headers
@@ -372,6 +373,78 @@
     granted: bool
 
 
+class PlaceState(Enum):
+    """What the owner of a line says of a call.
+
+    Attributes:
+        WAITS: It is in the line.
+        HAS_PLACE: It may be sent to an upstream.
+        REFUSED: It cannot be served in time.
+        LOST: The owner is gone; it is to be sent without a place.
+    """
+
+    WAITS = 0
+    HAS_PLACE = 1
+    REFUSED = 2
+    LOST = 3
+
+
+class PlaceRequest(NamedTuple):
+    """Requests a place at an upstream of a plain service from the owner of its line.
+
+    Attributes:
+        correlation_id: Matches replies to the request.
+        service: Name of the service.
+        workspace: Workspace of the call, empty without one.
+        priority: Priority of the call, 0 first.
+        beyond_share: True if its workspace has used up its rate limit.
+        came_back: True if its caller was refused before.
+        on_time_s: Time left in s until the call is late; below 0 if it is.
+        end_s: Time left in s until the call ends.
+        avoid: Upstreams to exclude.
+    """
+
+    correlation_id: int
+    service: str
+    workspace: str
+    priority: int
+    beyond_share: bool
+    came_back: bool
+    on_time_s: float
+    end_s: float
+    avoid: tuple[str, ...] = ()
+
+
+class PlaceReply(NamedTuple):
+    """Reply of the owner of a line; a call that waits gets another one later.
+
+    Attributes:
+        correlation_id: Number of the request.
+        state: What becomes of the call.
+        upstream: Upstream at which it has a place, else empty.
+        retry_after_s: Delay after which a refused caller may come back, in s.
+    """
+
+    correlation_id: int
+    state: PlaceState
+    upstream: str = ""
+    retry_after_s: float = 0.0
+
+
+class PlaceRelease(NamedTuple):
+    """Tells that a call needs no place any more.
+
+    Attributes:
+        correlation_id: Number of the request.
+        took_s: Time in s that the call took, 0 if it was not served.
+        load: Load that the upstream told with its answer, None if it told none.
+    """
+
+    correlation_id: int
+    took_s: float = 0.0
+    load: ToldLoad | None = None
+
+
 class SlotRelease(NamedTuple):
     """Tells that a slot, granted or not, is no longer used.
 
@@ -412,6 +485,9 @@
     EngineCrashes,
     VersionsSeen,
     EndedCharges,
+    PlaceRequest,
+    PlaceReply,
+    PlaceRelease,
 ]
 
 
--- a/wasabimux/link/wire.capnp
+++ b/wasabimux/link/wire.capnp
@@ -42,6 +42,9 @@
     engineCrashes @29 :EngineCrashes;
     versionsSeen @30 :VersionsSeen;
     endedCharges @31 :List(EndedCharge);
+    placeAsk @32 :PlaceAsk;
+    placeAnswer @33 :PlaceAnswer;
+    placeRelease @34 :PlaceRelease;
   }
 }
 
@@ -189,6 +192,34 @@
   granted @1 :Bool;
 }
 
+struct PlaceAsk {
+  number @0 :UInt32;      # correlation id
+  service @1 :Text;
+  workspace @2 :Text;
+  priority @3 :Int32;
+  beyondShare @4 :Bool;
+  cameBack @5 :Bool;
+  onTimeMs @6 :Int32;     # time left until the call is late, below 0 if it is
+  endMs @7 :UInt32;       # time left until the call ends
+  avoid @8 :List(Text);   # upstreams to exclude
+}
+
+struct PlaceAnswer {
+  number @0 :UInt32;
+  state @1 :UInt8;        # 0 waits, 1 has a place, 2 refused, 3 owner lost
+  upstream @2 :Text;
+  retryMs @3 :UInt32;
+}
+
+struct PlaceRelease {
+  number @0 :UInt32;
+  tookMs @1 :Float64;     # 0 if the call was not served
+  running @2 :UInt32;     # load that the upstream told with its answer
+  waiting @3 :UInt32;
+  slots @4 :UInt32;
+  slowness @5 :Float64;   # 1 as usual, 0 if it told no load
+}
+
 struct KindRevision {
   kind @0 :Text;
   revision @1 :UInt64;
--- a/wasabimux/platform/headers.py
+++ b/wasabimux/platform/headers.py
@@ -5,6 +5,7 @@
 import re
 
 from wasabimux.decisions.answers import ResponseMetadata
+from wasabimux.decisions.told_load import MAX_SLOWNESS, MIN_SLOWNESS, ToldLoad
 from wasabimux.headers import end_to_end_headers
 from wasabimux.ids import PromptPartId, RequestId
 from wasabimux.ports import Headers
@@ -29,7 +30,9 @@
 TENANT = b"wasabimux-tenant"
 EXPECT_INSTANCE = b"wasabimux-expect-instance"
 NOT_EXECUTED = b"wasabimux-not-executed"
-#: Load of the upstream, sent to the relay and not forwarded to clients.
+#: Load of the upstream, sent to the relay and not forwarded to clients: the requests
+#: that run, those that wait and the slots. Some add how long work takes on their
+#: machine, in percent.
 SERVER_LOAD = b"wasabimux-server-load"
 #: Requests per s that the upstream takes from all relays together, a decimal number.
 SERVER_LIMIT = b"server-limit"
@@ -67,6 +70,10 @@
 
 STATUS_UNAVAILABLE = 503
 
+#: Figures in a load with the slowness of the machine, and the highest of the others.
+LOAD_FIGURES = 4
+MAX_LOAD_FIGURE = 100_000
+
 SECONDS_PATTERN = re.compile(rb"\d+(\.\d*)?|\.\d+")
 RATE_PATTERN = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 
@@ -132,7 +139,7 @@
             name == SERVER_LEAVING and value.strip() == b"1" for name, value in headers
         )
         pause_s = _seconds(headers) if status == STATUS_UNAVAILABLE else None
-        return UpstreamNotice(leaving, pause_s)
+        return UpstreamNotice(leaving, pause_s, _told_load(headers))
 
     def response_headers(self, headers: Headers) -> Headers:
         """Returns the headers for forwarding a response, without hop-by-hop headers."""
@@ -172,6 +179,20 @@
     return float(value)
 
 
+def _told_load(headers: Headers) -> ToldLoad | None:
+    """Returns the load in a response, None if it lacks a figure or is out of bounds."""
+    value = next((value for name, value in headers if name == SERVER_LOAD), None)
+    figures = _integers(value)
+    if len(figures) != LOAD_FIGURES:
+        return None
+    running, waiting, slots, percent = figures
+    slowness = percent / 100
+    is_plausible = max(running, waiting, slots) <= MAX_LOAD_FIGURE and slots > 0
+    if not is_plausible or not MIN_SLOWNESS <= slowness <= MAX_SLOWNESS:
+        return None
+    return ToldLoad(running, waiting, slots, slowness)
+
+
 def _seconds(headers: Headers) -> float | None:
     """Returns the longest Retry-After in s, None without one.
 
--- a/wasabimux/relay/admission.py
+++ b/wasabimux/relay/admission.py
@@ -105,6 +105,9 @@
             request.arrived_s,
             _deadline_s(request, route, metadata),
         )
+        admitted.priority = route.priority
+        if workspace is not None and workspace.priority is not None:
+            admitted.priority = workspace.priority
         if workspace is not None:
             self._reserve(admitted, workspace, now)
         return admitted
--- a/wasabimux/relay/answers.py
+++ b/wasabimux/relay/answers.py
@@ -138,8 +138,10 @@
         is_authentic = answer.verdict is not AnswerVerdict.UNSIGNED
         if (names_limit or is_authentic) and upstream.on_response(answer.metadata):
             self._recorder.record_rate_limit(request, upstream)
+        if answer.verdict is AnswerVerdict.RAN:
+            upstream.on_accepted()
         if answer.verdict is AnswerVerdict.MISDIRECTED:
-            upstream.misdirected = True
+            upstream.on_misdirected(loop_time())
             status = answer.response.status
             self._recorder.record_answer(
                 request, "misdirected", upstream, status, answer.metadata
--- a/wasabimux/relay/context.py
+++ b/wasabimux/relay/context.py
@@ -77,6 +77,8 @@
         response_started: True once a part of the response was passed to the client.
         software: Software version at which the stream may go on, None before it begins.
         trial_of: Quarantined suspects that this request may try.
+        priority: Priority of the workspace, else of the route; 0 is the highest.
+        is_in_line: True while it waits for a place at an upstream.
         is_on_trial: True if its first attempt goes to a new software version.
     """
 
@@ -102,6 +104,8 @@
     response_started: bool = False
     software: SoftwareVersion | None = None
     trial_of: frozenset[SuspectId] | None = None
+    priority: int = 0
+    is_in_line: bool = False
     is_on_trial: bool = False
     _content_digest: str = ""
     _timeout: asyncio.Timeout | None = None
--- a/wasabimux/relay/model.py
+++ b/wasabimux/relay/model.py
@@ -7,6 +7,7 @@
 
 from wasabimux.decisions.rate import RateLimit
 from wasabimux.decisions.rollout import RolloutOrder, RolloutStep
+from wasabimux.decisions.told_load import ToldLoad
 from wasabimux.ids import (
     FailureDomainId,
     PromptPartId,
@@ -313,7 +314,9 @@
         leaving: True if the upstream is shutting down.
         pause_s: Time in s for which it wants no requests of this relay, None if it does
             not say so.
+        load: Load that it tells, None if it does not say how slow its machine is.
     """
 
     leaving: bool = False
     pause_s: float | None = None
+    load: ToldLoad | None = None
--- a/wasabimux/relay/owners.py
+++ b/wasabimux/relay/owners.py
@@ -1,10 +1,8 @@
 """Grants of decode slots by the one relay that owns an engine.
 
-The owner of an engine is chosen by rendezvous hashing over the aggregators that hear
-one another. Relays send their requests to an aggregator of their own failure domain,
-which passes them on. While relays disagree on the owner, or the owner is unreachable, a
-relay grants slots by itself. Engines may then be overcommitted for a short time, which
-adds latency but does not affect correctness.
+While relays disagree on the owner, or the owner is unreachable, a relay grants slots by
+itself. Engines may then be overcommitted for a short time, which adds latency but does
+not affect correctness.
 """
 
 from __future__ import annotations
@@ -15,13 +13,13 @@
 
 from wasabimux._clock import loop_time
 from wasabimux.decisions.memory_forecast import ZERO_FORECAST, MemoryForecast
-from wasabimux.decisions.placement import rendezvous_top
 from wasabimux.decisions.slot_grants import GrantId, SlotGrants
 from wasabimux.ids import UpstreamId
 from wasabimux.link.link import Link
 from wasabimux.link.messages import SlotGrantReply, SlotGrantRequest, SlotRelease
 from wasabimux.relay.mesh import Mesh
 from wasabimux.relay.model import ServiceProfile
+from wasabimux.relay.owner_directory import OwnerDirectory
 from wasabimux.relay.placing import UpstreamSelector
 from wasabimux.relay.upstreams import Upstream
 from wasabimux.relay.view import FleetView
@@ -78,6 +76,7 @@
         self._view = view
         self._selector = selector
         self._timeline = timeline
+        self._owners = OwnerDirectory(mesh)
         self._grants = SlotGrants()
         self._numbers = itertools.count(1)
         self._pending: dict[int, asyncio.Future[bool]] = {}
@@ -95,7 +94,7 @@
             memory: Expected KV cache memory of the stream.
         """
         number = next(self._numbers)
-        asked = self._next_hop(engine.id)
+        asked = self._owners.next_hop(engine.id)
         request = SlotGrantRequest(number, engine.id, memory)
         if asked == self._mesh.address or not self._mesh.send_to(asked, request):
             return self._grant_locally(number, engine, service, memory)
@@ -126,9 +125,8 @@
         relay = self._mesh.address_of(link)
         if relay is None:
             return
-        owner = self._owner(UpstreamId(request.upstream))
-        may_pass_on = relay not in self._mesh.live_aggregators(loop_time())
-        if may_pass_on and owner not in (self._mesh.address, relay):
+        owner = self._owners.owner(request.upstream)
+        if self._owners.may_pass_on(relay, owner):
             number = next(self._numbers)
             passed = request._replace(correlation_id=number)
             if self._mesh.send_to(owner, passed):
@@ -179,20 +177,6 @@
         if number is not None:
             del self._passed_by_number[number]
 
-    def _next_hop(self, engine: UpstreamId) -> str:
-        """Returns the relay to send a request to: the owner, or one that knows it."""
-        now = loop_time()
-        aggregators = self._mesh.membership.aggregators(now)
-        if self._mesh.address in aggregators:
-            return self._owner(engine)
-        return aggregators[0] if aggregators else self._mesh.address
-
-    def _owner(self, engine: UpstreamId) -> str:
-        aggregators = self._mesh.live_aggregators(loop_time())
-        if not aggregators:
-            return self._mesh.address
-        return rendezvous_top(engine.encode(), aggregators, 1)[0]
-
     def _grant_to_peer(self, relay: str, request: SlotGrantRequest) -> bool:
         engine = self._selector.by_id(UpstreamId(request.upstream))
         desired = self._view.desired_state
--- a/wasabimux/relay/placing.py
+++ b/wasabimux/relay/placing.py
@@ -67,14 +67,32 @@
         return self._is_in_service(upstream) and not upstream.pause.is_active(now)
 
     def _is_in_service(self, upstream: Upstream) -> bool:
+        return self._is_offered(upstream) and not upstream.misdirected
+
+    def _is_offered(self, upstream: Upstream) -> bool:
+        """Returns whether an upstream and the operators let it take requests."""
         is_current = self._pool.by_id.get(upstream.id) is upstream
         return (
             is_current
             and not upstream.leaving
-            and not upstream.misdirected
             and upstream.record.failure_domain not in self._view.evacuated_domains
         )
 
+    def offered(self, service: str) -> list[Upstream]:
+        """Returns the upstreams of a service that other relays can use.
+
+        What this relay alone has seen of them does not count; those that several peers
+        back off from are returned only if there is no other.
+        """
+        offered = [
+            item for item in self._pool.of_service(service) if self._is_offered(item)
+        ]
+        healthy = [item for item in offered if not self._is_avoided_by_peers(item)]
+        return healthy or offered
+
+    def _is_avoided_by_peers(self, upstream: Upstream) -> bool:
+        return self.peer_load(upstream.id).backing_off >= MIN_PEERS_BACKING_OFF
+
     def service(self, name: str) -> ServiceProfile | None:
         """Returns a service by its name, None if the desired state has none."""
         desired = self._view.desired_state
@@ -167,11 +185,7 @@
             return item.phase is phase and not changing_phase and is_fitting
 
         candidates = self.usable(service, now, avoid, suits)
-        healthy = [
-            item
-            for item in candidates
-            if self.peer_load(item.id).backing_off < MIN_PEERS_BACKING_OFF
-        ]
+        healthy = [item for item in candidates if not self._is_avoided_by_peers(item)]
         return healthy or candidates
 
     def pause_left_s(
--- a/wasabimux/relay/plain.py
+++ b/wasabimux/relay/plain.py
@@ -15,6 +15,7 @@
 from wasabimux.ids import UpstreamId
 from wasabimux.ports import Headers, UpstreamLost
 from wasabimux.relay.answers import AnswerReceiver, UpstreamAnswer
+from wasabimux.relay.call_lines import CallLines, CallPlace
 from wasabimux.relay.context import RESPONSE_MARGIN_S, RelayRequest
 from wasabimux.relay.placing import ALL_PAUSE_TEXT, UpstreamSelector
 from wasabimux.relay.ports import HeaderCodec
@@ -68,6 +69,7 @@
         selector: Chooses upstreams.
         quarantine: Refuses calls on which upstreams crash.
         rollouts: Divides calls between software versions.
+        lines: Gives places at upstreams while these are busy.
         answers: Sends calls and receives their answers.
         header_codec: Encodes the headers of responses.
         retries: Retry budgets.
@@ -80,6 +82,7 @@
         selector: UpstreamSelector,
         quarantine: RequestQuarantine,
         rollouts: Rollouts,
+        lines: CallLines,
         answers: AnswerReceiver,
         header_codec: HeaderCodec,
         retries: ServiceRetryBudgets,
@@ -92,6 +95,7 @@
         self._selector = selector
         self._quarantine = quarantine
         self._rollouts = rollouts
+        self._lines = lines
         self._answers = answers
         self._header_codec = header_codec
         self._retries = retries
@@ -124,6 +128,8 @@
                 done, attempts = await asyncio.wait(
                     attempts, timeout=hedge_s, return_when=asyncio.FIRST_COMPLETED
                 )
+                if not done and request.is_in_line:
+                    continue  # it was not sent yet
                 if not done:
                     if self._may_retry(request):
                         self._recorder.record(request, "hedged")
@@ -193,18 +199,17 @@
         """
         for _ in range(MAX_UNDELIVERED_SENDS):
             self._quarantine.check(request)
-            upstream = await self._choose_upstream(request)
-            self._quarantine.check(request)  # it may have waited for a turn
-            request.tried_upstreams.append(upstream.id)
-            response = await self._send(request, upstream)
+            place = await self._lines.enter(
+                request, self._avoided(request, loop_time())
+            )
+            response = await self._send_in_place(request, place)
             if response is None:
-                request.tried_upstreams.remove(upstream.id)
                 continue  # not delivered, or rejected as misdirected
             if response.verdict is AnswerVerdict.NOT_RUN:
                 self._recorder.record_answer(
                     request,
                     "not_executed",
-                    upstream,
+                    response.upstream,
                     response.status,
                     response.metadata,
                 )
@@ -218,6 +223,30 @@
             ErrorCode.NO_UPSTREAM, "no upstream could be reached", RETRY_AFTER_S
         )
 
+    async def _send_in_place(
+        self, request: RelayRequest, place: CallPlace | None
+    ) -> UpstreamResponse | None:
+        """Sends the call to the upstream of its place, else to one chosen now.
+
+        Returns:
+            The response; None if the call was not delivered or was rejected as
+            misdirected.
+        """
+        sent_s, took_s = loop_time(), 0.0
+        try:
+            upstream = place.upstream if place else await self._choose_upstream(request)
+            self._quarantine.check(request)  # it may have waited
+            request.tried_upstreams.append(upstream.id)
+            response = await self._send(request, upstream)
+            if response is None:
+                request.tried_upstreams.remove(upstream.id)
+            elif response.verdict is AnswerVerdict.RAN:
+                took_s = loop_time() - sent_s
+            return response
+        finally:
+            if place is not None:
+                self._lines.leave(place, took_s, loop_time())
+
     async def _choose_upstream(self, request: RelayRequest) -> Upstream:
         """Returns an upstream that may get the call now.
 
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -31,6 +31,9 @@
 from wasabimux.link.messages import (
     EngineCrashes,
     Message,
+    PlaceRelease,
+    PlaceReply,
+    PlaceRequest,
     RelayIdentity,
     SlotGrantReply,
     SlotGrantRequest,
@@ -39,6 +42,7 @@
 )
 from wasabimux.relay.admission import Admission
 from wasabimux.relay.answers import AnswerReceiver
+from wasabimux.relay.call_lines import CallLines
 from wasabimux.relay.context import RelayRequest
 from wasabimux.relay.generation import GenerationHandler
 from wasabimux.relay.leader_lease import LeaderLease
@@ -126,6 +130,7 @@
         quarantine: Requests on which upstreams crash.
         stream_records: Software versions of streams.
         rollouts: Roll-outs of new software versions.
+        call_lines: Lines of calls before busy upstreams.
         membership_settled: True once the relay can be taken to know all others.
     """
 
@@ -233,10 +238,12 @@
             self.view, platform.header_codec, self._buckets, timeline, rng
         )
         answers = AnswerReceiver(platform.header_codec, records)
+        self.call_lines = CallLines(self.mesh, self.selector, metrics)
         self._plain_handler = PlainCallHandler(
             self.selector,
             self.quarantine,
             self.rollouts,
+            self.call_lines,
             answers,
             platform.header_codec,
             self.retries,
@@ -335,6 +342,7 @@
         runs += [
             self.mesh.run,
             self.slots.run,
+            self.call_lines.run,
             self._stream_migrator.run,
             self._registration.run,
             self.quarantine.run,
@@ -518,6 +526,12 @@
             self.slot_arbiter.on_slot_answer(message)
         elif isinstance(message, SlotRelease):
             self.slot_arbiter.on_slot_release(link, message)
+        elif isinstance(message, PlaceRequest):
+            self.call_lines.on_place_request(link, message)
+        elif isinstance(message, PlaceReply):
+            self.call_lines.on_place_reply(message)
+        elif isinstance(message, PlaceRelease):
+            self.call_lines.on_place_release(link, message)
         elif isinstance(message, EngineCrashes):
             self.quarantine.on_peer_evidence(message)
         elif isinstance(message, VersionsSeen):
@@ -532,6 +546,7 @@
 
     def _on_peer_link_lost(self, address: str) -> None:
         self.slot_arbiter.on_relay_lost(address)
+        self.call_lines.on_relay_lost(address)
 
     def _on_others_changed(self) -> None:
         """Charges the usage of the other relays to the workspaces' rate limits."""
@@ -598,6 +613,8 @@
         leaving = sum(item.leaving for item in upstreams)
         paused = sum(item.pause.is_active(now) for item in upstreams)
         self._metrics.set_state("paused_upstreams", paused)
+        self._metrics.set_state("waiting_calls", self.call_lines.waiting)
+        self._metrics.set_state("given_places", self.call_lines.held)
         self._metrics.set_state("rollouts_running", self.rollouts.running)
         self._metrics.set_state("leaving_upstreams", leaving)
 
--- a/wasabimux/relay/upstreams.py
+++ b/wasabimux/relay/upstreams.py
@@ -20,6 +20,7 @@
     sum_forecasts,
 )
 from wasabimux.decisions.shared_pace import SharedPace
+from wasabimux.decisions.told_load import TOLD_LOAD_VALID_S, ToldLoad
 from wasabimux.decisions.upstream_health import UpstreamHealth
 from wasabimux.decisions.upstream_pause import UpstreamPause
 from wasabimux.ids import UpstreamId
@@ -46,6 +47,36 @@
 REMOVED_UPSTREAM_MEMORY_S = 60.0
 
 
+#: Time in s for which an upstream gets no requests after it called one misdirected; it
+#: doubles each time in a row up to the maximum. Another process may have its address,
+#: or its entry may have been late.
+FIRST_MISDIRECTED_S = 0.5
+MAX_MISDIRECTED_S = 8.0
+
+
+@dataclass(slots=True)
+class Misdirection:
+    """Answers of an upstream that a request was misdirected.
+
+    Attributes:
+        count: Number of them since a request was accepted.
+        until_s: Time in s until which the upstream gets no requests.
+    """
+
+    count: int = 0
+    until_s: float = 0.0
+
+    def on_answer(self, now: float) -> None:
+        """Records such an answer."""
+        pause_s = min(MAX_MISDIRECTED_S, FIRST_MISDIRECTED_S * 2**self.count)
+        self.until_s = now + pause_s
+        self.count += 1
+
+    def is_active(self, now: float) -> bool:
+        """Returns whether the upstream gets no requests now."""
+        return now < self.until_s
+
+
 class ListenerState(Enum):
     """Whether a process listens at an address.
 
@@ -113,8 +144,6 @@
         leaving: True once its entry or a response has said that it leaves. It gets no
             new requests, also if its entry changes again; streams there go on.
         pause: Time for which it has asked this relay to send it nothing.
-        misdirected: True once the upstream responded that a request was misdirected,
-            until its phase changes.
         cold_until_s: Time until which the upstream is cold.
         pace: Turns of this relay while the upstream bears few requests; None while it
             bears any.
@@ -123,6 +152,8 @@
             may take.
         rate_limit_per_s: Requests per s that the upstream takes from all relays
             together, as of its last response; None if it names no limit.
+        told_load: Load that its last response told, None if it tells none.
+        told_s: Time of that response in s.
     """
 
     def __init__(
@@ -138,12 +169,14 @@
         self.streams: set[RunningStream] = set()
         self.leaving = record.draining
         self.pause = UpstreamPause()
-        self.misdirected = False
+        self._misdirection = Misdirection()
         self.cold_until_s = now + record.cold_s
         self.pace: SharedPace | None = None
         self.full_until_s = 0.0
         self.phase_change_until_s = 0.0
         self.rate_limit_per_s: float | None = None
+        self.told_load: ToldLoad | None = None
+        self.told_s = 0.0
         self._on_any_response = on_any_response
         self._idle: deque[tuple[float, ClientConnection]] = deque()
         self._is_retired = False
@@ -172,7 +205,7 @@
             self.pace = None
         if record.phase is not self.record.phase:
             self.phase_change_until_s = 0.0
-            self.misdirected = False
+            self._misdirection = Misdirection()
         if record.address != self.record.address:
             self.close()
             self._host, self._port = parse_address(record.address)
@@ -198,8 +231,38 @@
         self.leaving = self.leaving or notice.leaving
         if notice.pause_s is not None:
             self.pause.on_asked(notice.pause_s, now)
+        if notice.load is not None:
+            self.on_told_load(notice.load, now)
         return is_news
 
+    def on_told_load(self, load: ToldLoad, now: float) -> None:
+        """Takes over the load that the upstream told this relay or another one."""
+        self.told_load = load
+        self.told_s = now
+
+    def fresh_load(self, now: float) -> ToldLoad | None:
+        """Returns the load that the upstream told a moment ago, None without one."""
+        return self.told_load if now - self.told_s <= TOLD_LOAD_VALID_S else None
+
+    @property
+    def misdirected(self) -> bool:
+        """True while the upstream gets no requests, as it called one misdirected.
+
+        An engine gets none until its phase changes.
+        """
+        if self.phase is not None:
+            return self._misdirection.count > 0
+        return self._misdirection.is_active(loop_time())
+
+    def on_accepted(self) -> None:
+        """Records that the upstream has run a request, which it takes for its own."""
+        if self._misdirection.count:
+            self._misdirection = Misdirection()
+
+    def on_misdirected(self, now: float) -> None:
+        """Records that the upstream responded that a request was misdirected."""
+        self._misdirection.on_answer(now)
+
     def on_response(self, metadata: ResponseMetadata) -> bool:
         """Takes over the rate limit of a valid response.
 
@@ -218,7 +281,7 @@
             now: Current time in s.
         """
         if status == STATUS_MISDIRECTED:
-            self.misdirected = True
+            self.on_misdirected(now)
         else:
             # It rejected a request despite a reservation, as during a phase change.
             self.health.back_off(now)
