--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -52,6 +52,12 @@
         self._settings_path.write_text(settings.model_dump_json())
         self._process: subprocess.Popen[bytes] | None = None
 
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        assert self._process is not None
+        return self._process.pid
+
     def start(self) -> None:
         """Starts the process."""
         arguments = ["-m", "wasabimux.cli.daemon", "relay", str(self._settings_path)]
--- a/wasabimux/decisions/call_line.py
+++ b/wasabimux/decisions/call_line.py
@@ -45,7 +45,7 @@
 
 #: Least fraction of the upstreams' capacity that is left for calls which are late, as
 #: calls that come now may be refused as well.
-MIN_LEFT_FRACTION = 0.1
+MIN_LEFT_FRACTION = 0.5
 
 
 class CallId(NamedTuple):
--- a/wasabimux/platform/standins/runner.py
+++ b/wasabimux/platform/standins/runner.py
@@ -23,6 +23,9 @@
 #: Time in s between the comments of a stalled stream.
 COMMENT_INTERVAL_S = 0.25
 
+#: Header of a request that asks for a large answer.
+LARGE_ANSWER = b"x-large"
+
 #: Tokens in one event of a stream, and time between events in s.
 TOKENS_PER_EVENT = 10
 EVENT_INTERVAL_S = 0.01
@@ -76,6 +79,7 @@
         rate_limit_per_s: Requests per s that the runner says it takes from all relays
             together; None to name no limit.
         leaving: True to state in every response that the runner leaves.
+        large_answer_bytes: Size of the answers to requests with LARGE_ANSWER.
         pause_s: Retry-After in s of the refusals of requests and reservations; None to
             add none.
     """
@@ -95,6 +99,7 @@
     rate_limit_per_s: float | None = None
     leaving: bool = False
     pause_s: float | None = None
+    large_answer_bytes: int = 0
 
 
 @dataclass(slots=True)
@@ -317,6 +322,8 @@
             )
         record.completed = True
         response_body = f"answer of {self.id}".encode()
+        if LARGE_ANSWER in record.headers:
+            response_body = bytes(self.faults.large_answer_bytes)
         return HttpResponse(self.faults.status, response_headers, response_body)
 
     async def _wait_until_restarted(self) -> None:
