Bound what a process holds for its clients, in bytes and in number

One ledger a process counts bodies of requests that arrive, and answers of plain services until their client has read them, with a bound from the memory of the machine. Over it the largest that wait for their client end first; a body without room is refused, not run. Large bodies are written in slices as the other side reads; a head has 512 fields at most; of the descriptors, clients may use three fifths, beyond which the connections end that wait longest for a request. Frames of errors no longer keep bodies until the next collection. The settings come from the environment of the role (memory, descriptors).

--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -49,7 +49,7 @@
         self.http_address = parse_address(settings.callers)
         self._log_path = directory / f"{settings.instance}.log"
         self._settings_path = directory / f"{settings.instance}.json"
-        self._settings_path.write_text(settings.model_dump_json())
+        self._settings_path.write_text(settings.model_dump_json(exclude_none=True))
         self._process: subprocess.Popen[bytes] | None = None
 
     @property
--- a/wasabimux/adapters/http_client.py
+++ b/wasabimux/adapters/http_client.py
@@ -6,7 +6,7 @@
 import select
 import socket
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any, NamedTuple, Protocol
 
 import h11
@@ -115,19 +115,27 @@
                     "connection closed before the end of the response", sent=True
                 )
 
-    async def body(self) -> bytes:
+    async def body(self, hold: Callable[[int], bool] = lambda size: True) -> bytes:
         """Returns the whole body.
 
+        Args:
+            hold: Tells whether there is memory for a number of further bytes.
+
         Raises:
-            UpstreamLost: The connection ended before the response, or the body has more
-                than MAX_WHOLE_BODY_BYTES.
+            UpstreamLost: The connection ended before the response, there is no memory
+                for the body, or it has more than MAX_WHOLE_BODY_BYTES.
         """
         body = bytearray()
-        async for piece in self.pieces():
-            body += piece
-            if len(body) > MAX_WHOLE_BODY_BYTES:
-                raise UpstreamLost("the response body is too large", sent=True)
-        return bytes(body)
+        try:
+            async for piece in self.pieces():
+                if not hold(len(piece)):
+                    raise UpstreamLost("no memory for the response body", sent=True)
+                body += piece
+                if len(body) > MAX_WHOLE_BODY_BYTES:
+                    raise UpstreamLost("the response body is too large", sent=True)
+            return bytes(body)
+        finally:
+            body.clear()  # the frames of an error would keep it for long
 
     def is_first(self, name: str | None) -> bool:
         """Returns whether no response on the connection gave a name before.
@@ -296,6 +304,10 @@
         return all_headers
 
 
+#: Size in bytes up to which a request is sent at once, and of the slices of others.
+SLICE_BYTES = 64 * 1024
+
+
 class ClientConnection:
     """HTTP/1.1 connection to a server.
 
@@ -314,6 +326,7 @@
         self._has_skipped = False
         self.given_names: deque[str] = deque(maxlen=MAX_GIVEN_NAMES)
         self._idle_watch: asyncio.Task[bytes] | None = None
+        self._sending: asyncio.Task[None] | None = None
 
     @classmethod
     async def connect(
@@ -340,13 +353,25 @@
         if body:
             self._sent.append(h11.Data(data=body))
         self._sent.append(h11.EndOfMessage())
-        data = b"".join([self._http.send(event) or b"" for event in self._sent])
+        pieces = [self._http.send(event) or b"" for event in self._sent]
         try:
-            self._writer.write(data)
+            if len(body) <= SLICE_BYTES:
+                self._writer.write(b"".join(pieces))
+            else:
+                self._sending = asyncio.ensure_future(self._send_slices(pieces))
+                self._sending.add_done_callback(_retrieve_exception)
         except OSError as error:
             raise UpstreamLost(str(error), sent=True) from error
         return await self._read_head()
 
+    async def _send_slices(self, pieces: list[bytes]) -> None:
+        """Sends a large request without another copy of it; reads meanwhile go on."""
+        for piece in pieces:
+            view = memoryview(piece)
+            for start in range(0, len(view), SLICE_BYTES):
+                self._writer.write(view[start : start + SLICE_BYTES])
+                await self._writer.drain()
+
     async def read_next_response(self) -> h11.Response:
         """Returns the head of the response after a whole one, to the same request."""
         received, has_ended = self._http.trailing_data
@@ -424,11 +449,14 @@
 
     def close(self) -> None:
         """Closes the connection immediately."""
-        if self._idle_watch is not None:
-            self._idle_watch.cancel()
+        for task in (self._idle_watch, self._sending):
+            if task is not None:
+                task.cancel()
         self._writer.transport.abort()
 
     def _has_unsent_data(self) -> bool:
+        if self._sending is not None and not self._sending.done():
+            return True
         return self._writer.transport.get_write_buffer_size() > 0
 
 
@@ -463,7 +491,7 @@
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBE_COUNT)
 
 
-def _retrieve_exception(idle_watch: asyncio.Task[bytes]) -> None:
+def _retrieve_exception(task: asyncio.Task[Any]) -> None:
     """Retrieves the exception, so that asyncio does not log it as never retrieved."""
-    if not idle_watch.cancelled():
-        idle_watch.exception()
+    if not task.cancelled():
+        task.exception()
--- a/wasabimux/adapters/http_receiver.py
+++ b/wasabimux/adapters/http_receiver.py
@@ -11,6 +11,13 @@
 
 READ_BYTES = 64 * 1024
 
+#: Most fields of one head.
+MAX_FIELDS = 512
+
+#: Bytes that MAX_FIELDS fields have at least, and the end of a head.
+MIN_CHECKED_BYTES = 4 * MAX_FIELDS
+HEAD_END = b"\r\n\r\n"
+
 #: Size in bytes from which a piece is not joined with others.
 LARGE_PIECE_BYTES = 4096
 
@@ -25,11 +32,18 @@
         http: The h11 connection.
         reader: Reader of the TCP connection.
         turn: Turn of the TCP connection.
+        max_fields: Most fields of a head or of trailers; each costs far more memory
+            than its bytes.
     """
 
     def __init__(
-        self, http: h11.Connection, reader: asyncio.StreamReader, turn: Turn
+        self,
+        http: h11.Connection,
+        reader: asyncio.StreamReader,
+        turn: Turn,
+        max_fields: int = MAX_FIELDS,
     ) -> None:
+        self._max_fields = max_fields
         self._http = http
         self._reader = reader
         self._turn = turn
@@ -64,6 +78,7 @@
             raise event
         started_s = self._time()
         if event is None:
+            self._check_fields()
             event = self._http.next_event()
         if isinstance(event, h11.Data):
             return self._join_pieces(event, started_s)
@@ -71,6 +86,21 @@
             self._turn.add(1, 0, self._time() - started_s)
         return event
 
+    def _check_fields(self) -> None:
+        """Checks the number of fields of a head before it is parsed.
+
+        Raises:
+            h11.RemoteProtocolError: There are too many.
+        """
+        if self._http.their_state is h11.SEND_BODY:
+            return
+        received = self._http.trailing_data[0]
+        if len(received) < MIN_CHECKED_BYTES:
+            return
+        if received.partition(HEAD_END)[0].count(b"\n") > self._max_fields:
+            text = "too many fields in the head"
+            raise h11.RemoteProtocolError(text, error_status_hint=431)
+
     def _join_pieces(self, first: h11.Data, started_s: float) -> h11.Data:
         """Returns data joined with small pieces at hand, as many as the turn allows.
 
--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -9,7 +9,7 @@
 import ssl
 import struct
 from collections.abc import AsyncGenerator, Awaitable, Callable
-from contextlib import aclosing
+from contextlib import aclosing, nullcontext
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 from urllib.parse import parse_qsl, urlsplit
@@ -19,12 +19,21 @@
 from wasabimux._clock import loop_time
 from wasabimux.adapters.http_client import has_unread_data, is_readable
 from wasabimux.adapters.http_receiver import READ_BYTES, HttpReceiver
+from wasabimux.adapters.memory_ledger import HeldBytes, process_ledger
 from wasabimux.adapters.turns import Turn
 from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError, refused
 from wasabimux.ports import Headers
 
 MAX_HEAD_BYTES = 32 * 1024
 LISTEN_BACKLOG = 512
+
+#: Bytes that a connection buffers beside a body that comes in several pieces.
+RECEIVE_BUFFER_BYTES = READ_BYTES
+
+#: Most connections accepted in one cycle of the event loop, before those beyond the
+#: bound on connections are closed.
+MAX_ACCEPTED_AT_ONCE = 32
+
 WRITE_BUFFER_BYTES = 64 * 1024
 
 #: Most cycles of the event loop in which connections are accepted before a listener
@@ -39,6 +48,9 @@
 
 HTTP_1_0 = b"1.0"
 
+#: Retry-After in s of a request for whose body there is no memory.
+NO_MEMORY_RETRY_S = 1.0
+
 #: Value of SO_LINGER with which a close resets the connection.
 LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -107,6 +119,7 @@
         headers: Headers without framing headers.
         body: Complete body, or a generator of chunks.
         length: Length of a streamed body in bytes, None if unknown.
+        held: What the process holds of the body, freed once it is written.
         on_done: Called when the response has ended, with True if it was complete.
     """
 
@@ -114,6 +127,7 @@
     headers: Headers = field(default_factory=list)
     body: bytes | AsyncGenerator[bytes, None] = b""
     length: int | None = None
+    held: HeldBytes | None = None
     on_done: Callable[[bool], None] | None = None
 
 
@@ -165,14 +179,15 @@
 
     async def listen(self, host: str, port: int) -> tuple[str, int]:
         """Starts to listen; returns the bound host and port."""
+        listener = socket.create_server((host, port), reuse_port=False)
         self._server = await asyncio.start_server(
             self._accept,
-            host,
-            port,
+            sock=listener,
             ssl=self._tls,
-            limit=READ_BYTES,
-            backlog=LISTEN_BACKLOG,
+            limit=RECEIVE_BUFFER_BYTES // 2,  # it reads up to twice as much
+            backlog=MAX_ACCEPTED_AT_ONCE,
         )
+        listener.listen(LISTEN_BACKLOG)
         bound_address = self._server.sockets[0].getsockname()
         return bound_address[0], bound_address[1]
 
@@ -209,10 +224,22 @@
         for connection in list(self._connections):
             connection.abort()
 
+    def _close_surplus(self) -> None:
+        """Closes connections that wait longest for a request, if there are too many."""
+        most = process_ledger().limits.connections
+        while most is not None and len(self._connections) >= most:
+            waiting = [item for item in self._connections if not item.busy]
+            if not waiting:
+                return
+            longest = min(waiting, key=lambda item: item.waits_since_s)
+            self._connections.discard(longest)
+            longest.abort()
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         connection = _Connection(self, self._handler, reader, writer)
+        self._close_surplus()
         self._connections.add(connection)
         try:
             await connection.serve()
@@ -222,6 +249,7 @@
             pass  # the response was aborted; its handler has recorded this
         finally:
             self._connections.discard(connection)
+            connection.drop_data()
             writer.close()
 
 
@@ -244,6 +272,8 @@
         self._receiver = HttpReceiver(self._http, reader, Turn(peer))
         self._write_turn = Turn(peer)
         self._busy = False
+        self.waits_since_s = loop_time()
+        self._held = HeldBytes(process_ledger())
         self._expects_continue = False
         self._body_read = asyncio.Event()
         writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
@@ -255,11 +285,18 @@
             if request is None:
                 return
             self._busy = True
-            await self._respond(request)
+            with self._held:
+                await self._respond(request)
             self._busy = False
+            self.waits_since_s = loop_time()
             if not self._prepare_next_request():
                 return
 
+    @property
+    def busy(self) -> bool:
+        """True while a request runs on the connection."""
+        return self._busy
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request runs on it or has begun to arrive."""
         if not self._busy and not self._has_request_begun():
@@ -273,6 +310,10 @@
             or has_unread_data(self._writer)
         )
 
+    def drop_data(self) -> None:
+        """Drops what was received and not read, which an error may keep for long."""
+        self._reader._buffer.clear()  # type: ignore[attr-defined]
+
     def abort(self) -> None:
         """Aborts the connection immediately.
 
@@ -346,6 +387,22 @@
             interim_response = h11.InformationalResponse(status_code=100, headers=[])
             self._write(self._http.send(interim_response))
         body = bytearray()
+        self._held.end_wait = self._end_body
+        try:
+            await self._receive_body(body)
+            self._body_read.set()
+            return bytes(body)
+        finally:
+            self._held.end_wait = None
+            body.clear()  # the frames of an error would keep it for long
+
+    async def _receive_body(self, body: bytearray) -> None:
+        """Receives the rest of a body.
+
+        Raises:
+            RefusedError: It is malformed or too large, there is no memory for it, or
+                no data came in time.
+        """
         while True:
             try:
                 async with asyncio.timeout(self._server.limits.body_timeout_s):
@@ -357,12 +414,19 @@
             except h11.RemoteProtocolError as error:
                 raise refused(ErrorCode.BAD_REQUEST, str(error))
             if not isinstance(event, h11.Data):
-                self._body_read.set()
-                return bytes(body)
+                return
+            buffers = RECEIVE_BUFFER_BYTES if len(body) == self._held.size > 0 else 0
+            if not self._held.add(len(event.data) + buffers):
+                del event  # the frames of an error would keep it for long
+                raise _no_memory_error()
             body += event.data
             if len(body) > self._server.limits.max_body_bytes:
                 raise refused(ErrorCode.TOO_LARGE, "request body is too large")
 
+    def _end_body(self) -> None:
+        """Ends the wait for the rest of a body."""
+        self._reader.set_exception(_no_memory_error())
+
     async def _respond(self, request: HttpRequest) -> None:
         """Runs the handler and sends its response, unless the client disconnects."""
         handling = asyncio.ensure_future(self._handle_and_write(request))
@@ -404,6 +468,11 @@
             logger.exception("event=handler_failed target_path=%s", request.path)
             internal_error = Refusal(ErrorCode.INTERNAL, "internal error", Ran.UNKNOWN)
             response = refusal_response(internal_error)
+        with response.held or nullcontext():
+            await self._write_and_tell(response)
+
+    async def _write_and_tell(self, response: HttpResponse) -> None:
+        """Writes a response, and tells whether it was complete."""
         complete = False
         try:
             body_is_unread = not self._body_read.is_set()
@@ -424,7 +493,7 @@
         head = h11.Response(status_code=response.status, headers=headers)
         self._write(self._http.send(head))
         if isinstance(response.body, bytes):
-            self._write(self._http.send(h11.Data(data=response.body)))
+            await self._write_body(response)
         else:
             async with aclosing(response.body) as chunks:
                 async for chunk in chunks:
@@ -437,6 +506,22 @@
         self._write(self._http.send(h11.EndOfMessage()))
         await self._flush()
 
+    async def _write_body(self, response: HttpResponse) -> None:
+        """Writes a complete body; a large one as the client reads it."""
+        assert isinstance(response.body, bytes)
+        data = self._http.send(h11.Data(data=response.body)) or b""
+        if len(data) <= WRITE_BUFFER_BYTES:
+            self._write(data)
+            return
+        if response.held is not None:
+            response.held.end_wait = self.abort
+        response.body = b""
+        with memoryview(data) as view:
+            data = b""  # the frames of an error would keep it for long
+            for start in range(0, len(view), WRITE_BUFFER_BYTES):
+                self._writer.write(bytes(view[start : start + WRITE_BUFFER_BYTES]))
+                await self._flush()
+
     async def _reject_head(self, message: str, status: int) -> None:
         refusal = Refusal(ErrorCode.BAD_REQUEST, message)
         response = refusal_response(refusal)
@@ -471,6 +556,14 @@
         await asyncio.sleep(0)
 
 
+def _no_memory_error() -> RefusedError:
+    """Returns the refusal of a body for which the process has no memory."""
+    text = "the process has no memory for the request's body now"
+    return RefusedError(
+        Refusal(ErrorCode.OVERLOADED, text, retry_after_s=NO_MEMORY_RETRY_S)
+    )
+
+
 def _has_body(headers: Headers) -> bool:
     return any(
         name == b"transfer-encoding" or (name == b"content-length" and value != b"0")
--- /dev/null
+++ b/wasabimux/adapters/memory_ledger.py
@@ -0,0 +1,201 @@
+"""Bytes that a process holds for its clients, with one bound for all of them.
+
+Made for clients that send much and stop short of its end, or ask for much and do not
+read it. Every body that is held for a client is counted here. Over the bound, those who
+hold most and wait for their client end first; small bodies have a reserve.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import NamedTuple
+from weakref import WeakKeyDictionary
+
+from wasabimux._clock import loop_time
+from wasabimux.decisions.log_sampling import LogSampler
+
+MEGABYTE = 1_000_000
+
+#: Memory in MB of a process that holds nothing for clients, with room for its other
+#: state.
+BASE_MEMORY_MB = 60.0
+
+#: Bytes of memory that a held byte costs at most: bodies are joined and sent on, and
+#: the allocator keeps what was freed.
+COST_OF_HELD_BYTE = 3.0
+
+#: Bound in bytes where the memory of the machine is not known.
+DEFAULT_BOUND_BYTES = 40 * MEGABYTE
+
+#: Least bound in bytes, whatever the machine: one body at the limit has to fit, twice.
+MIN_BOUND_BYTES = 10 * MEGABYTE
+
+#: Size in bytes up to which a body uses the reserve, and the fraction that this is.
+SMALL_BYTES = 64 * 1024
+RESERVE_FRACTION = 0.2
+
+#: Most log lines a second on clients that were ended.
+MAX_LOG_LINES_PER_S = 1.0
+
+logger = logging.getLogger("wasabimux.http")
+
+
+class LedgerLimits(NamedTuple):
+    """Bounds on what clients make a process hold.
+
+    Attributes:
+        held_bytes: Bytes held for clients.
+        connections: Connections of clients; None for no bound.
+    """
+
+    held_bytes: int = DEFAULT_BOUND_BYTES
+    connections: int | None = None
+
+
+def limits_of_machine(memory_mb: float | None, descriptors: int | None) -> LedgerLimits:
+    """Returns the bounds that follow from a machine.
+
+    Args:
+        memory_mb: Memory of the machine in MB, None if unknown.
+        descriptors: Descriptors that the process may open, None if unknown.
+    """
+    held = DEFAULT_BOUND_BYTES
+    if memory_mb is not None:
+        free_bytes = (memory_mb - BASE_MEMORY_MB) * MEGABYTE
+        held = max(MIN_BOUND_BYTES, int(free_bytes / COST_OF_HELD_BYTE))
+    connections = None
+    if descriptors is not None:
+        connections = int(descriptors * CONNECTIONS_FRACTION)
+    return LedgerLimits(held, connections)
+
+
+#: Fraction of a process's descriptors that connections of clients may use; the others
+#: are for upstreams, peers, the store, readiness and metrics.
+CONNECTIONS_FRACTION = 0.6
+
+
+class HeldBytes:
+    """What one client makes the process hold; a context manager that frees it.
+
+    Args:
+        ledger: Ledger of the process.
+
+    Attributes:
+        size: Bytes held.
+        end_wait: Ends the wait for the client, as others need the memory; None while
+            the client is not waited for.
+    """
+
+    __slots__ = ("_ledger", "size", "end_wait")
+
+    def __init__(self, ledger: MemoryLedger) -> None:
+        self._ledger = ledger
+        self.size = 0
+        self.end_wait: Callable[[], None] | None = None
+
+    def __enter__(self) -> HeldBytes:
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.free()
+
+    def add(self, size: int, must: bool = False) -> bool:
+        """Holds more bytes.
+
+        Args:
+            size: Number of bytes.
+            must: True if all clients that are waited for end before this one.
+
+        Returns:
+            False if there is no room; then nothing more is held.
+        """
+        return self._ledger.hold(self, size, must)
+
+    def free(self) -> None:
+        """Holds nothing any more."""
+        self._ledger.release(self)
+
+
+class MemoryLedger:
+    """Counts the bytes held for all clients of a process.
+
+    Args:
+        limits: Bounds.
+
+    Attributes:
+        limits: Bounds, which may change.
+        held: Bytes held now.
+        ended: Clients that were ended, as others needed the memory.
+        refused: Bodies for which there was no room.
+    """
+
+    def __init__(self, limits: LedgerLimits = LedgerLimits()) -> None:
+        self.limits = limits
+        self.held = 0
+        self.ended = 0
+        self.refused = 0
+        self._holders: set[HeldBytes] = set()
+        self._sampler = LogSampler(MAX_LOG_LINES_PER_S)
+
+    def hold(self, holder: HeldBytes, size: int, must: bool) -> bool:
+        """Holds bytes for a client; see HeldBytes.add.
+
+        Others that hold more and wait for their client end first, if needed.
+        """
+        bound = self.limits.held_bytes
+        if holder.size + size > SMALL_BYTES:
+            bound -= int(RESERVE_FRACTION * bound)
+        while self.held + size > bound:
+            largest = self._largest_waiting(holder)
+            if largest is None or not (must or largest.size > holder.size + size):
+                self.refused += 1
+                self._log("body_refused", holder.size + size)
+                return False
+            self.ended += 1
+            self._log("client_ended", largest.size)
+            self.release(largest)
+            end_wait, largest.end_wait = largest.end_wait, None
+            if end_wait is not None:
+                end_wait()
+        self._holders.add(holder)
+        holder.size += size
+        self.held += size
+        return True
+
+    def release(self, holder: HeldBytes) -> None:
+        """Holds nothing for a client any more."""
+        self.held -= holder.size
+        holder.size = 0
+        self._holders.discard(holder)
+
+    def _largest_waiting(self, other_than: HeldBytes) -> HeldBytes | None:
+        waiting = [
+            holder
+            for holder in self._holders
+            if holder.end_wait is not None and holder is not other_than
+        ]
+        return max(waiting, key=lambda holder: holder.size, default=None)
+
+    def _log(self, event: str, size: int) -> None:
+        left_out = self._sampler.admit(loop_time())
+        if left_out is not None:
+            logger.warning(
+                "event=%s bytes=%d held=%d bound=%d left_out=%d",
+                event,
+                size,
+                self.held,
+                self.limits.held_bytes,
+                left_out,
+            )
+
+
+_ledger_by_loop: WeakKeyDictionary[asyncio.AbstractEventLoop, MemoryLedger] = (
+    WeakKeyDictionary()
+)
+
+
+def process_ledger() -> MemoryLedger:
+    """Returns the ledger that all connections of the running event loop share."""
+    return _ledger_by_loop.setdefault(asyncio.get_running_loop(), MemoryLedger())
--- a/wasabimux/decisions/call_line.py
+++ b/wasabimux/decisions/call_line.py
@@ -23,9 +23,10 @@
 from wasabimux.decisions.fair_queue import FairQueueTags
 from wasabimux.ids import UpstreamId
 
-#: Time in s from the end of a call until the next one arrives at the upstream, over two
-#: relays and the owner. For so long an upstream needs calls beyond its slots.
-TURN_S = 0.012
+#: Time in s from the end of a call until the next one arrives at the upstream, over up
+#: to four relays of which each may be late. For so long an upstream needs calls beyond
+#: its slots.
+TURN_S = 0.04
 
 #: Time in s after which a place at an upstream is free although its end was not told.
 MAX_PLACE_S = 10.0
--- a/wasabimux/relay/context.py
+++ b/wasabimux/relay/context.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from wasabimux._digest import digest_of
+from wasabimux.adapters.memory_ledger import HeldBytes
 from wasabimux.errors import (
     NOT_RUN_STATUSES,
     STATUS_BY_CODE,
@@ -77,6 +78,7 @@
         response_started: True once a part of the response was passed to the client.
         software: Software version at which the stream may go on, None before it begins.
         trial_of: Quarantined suspects that this request may try.
+        held_answers: What the process holds of answers of plain services.
         priority: Priority of the workspace, else of the route; 0 is the highest.
         is_in_line: True while it waits for a place at an upstream.
         is_on_trial: True if its first attempt goes to a new software version.
@@ -104,6 +106,7 @@
     response_started: bool = False
     software: SoftwareVersion | None = None
     trial_of: frozenset[SuspectId] | None = None
+    held_answers: list[HeldBytes] = field(default_factory=list)
     priority: int = 0
     is_in_line: bool = False
     is_on_trial: bool = False
--- a/wasabimux/relay/plain.py
+++ b/wasabimux/relay/plain.py
@@ -7,6 +7,7 @@
 
 from wasabimux._clock import loop_time
 from wasabimux.adapters.http_server import HttpResponse
+from wasabimux.adapters.memory_ledger import HeldBytes, process_ledger
 from wasabimux.adapters.relay_metrics import RelayMetrics
 from wasabimux.decisions.answers import AnswerVerdict, ResponseMetadata
 from wasabimux.decisions.log_sampling import LogSampler
@@ -60,6 +61,7 @@
     metadata: ResponseMetadata
     verdict: AnswerVerdict
     upstream: Upstream
+    held: HeldBytes
 
 
 class PlainCallHandler:
@@ -106,10 +108,17 @@
         Raises:
             RefusedError: The call was refused or failed.
         """
-        async with request.deadline_scope():
-            response = await self._fetch_response(request)
+        passed_on: HeldBytes | None = None
+        try:
+            async with request.deadline_scope():
+                response = await self._fetch_response(request)
+            passed_on = response.held
+        finally:
+            for held in request.held_answers:
+                if held is not passed_on:
+                    held.free()
         headers = self._header_codec.response_headers(response.headers)
-        return HttpResponse(response.status, headers, response.body)
+        return HttpResponse(response.status, headers, response.body, held=response.held)
 
     async def _fetch_response(self, request: RelayRequest) -> UpstreamResponse:
         """Sends, hedges and retries a call until there is a response to pass on.
@@ -308,12 +317,24 @@
             RefusedError: The connection was lost after sending, or the response is
                 not valid.
         """
+        held = HeldBytes(process_ledger())
+        request.held_answers.append(held)
+        try:
+            return await self._receive(request, upstream, held)
+        except BaseException:
+            held.free()
+            raise
+
+    async def _receive(
+        self, request: RelayRequest, upstream: Upstream, held: HeldBytes
+    ) -> UpstreamResponse | None:
+        """Sends the call once; see _send."""
         started_s = loop_time()
         options = request.send_options(upstream.id, started_s)
         upstream.running += 1
         try:
             answer = await self._answers.send_run(request, upstream, options)
-            body = await _whole_body(answer)
+            body = await _whole_body(answer, held)
         except UpstreamLost as error:
             self._on_lost(request, upstream, error)
             if not error.sent:
@@ -331,6 +352,7 @@
             answer.metadata,
             answer.verdict,
             upstream,
+            held,
         )
         return self._check_response(request, received, now - started_s, now)
 
@@ -417,10 +439,14 @@
         )
 
 
-async def _whole_body(answer: UpstreamAnswer) -> bytes:
-    """Returns the body of an answer, which does not count unless the call has run."""
+async def _whole_body(answer: UpstreamAnswer, held: HeldBytes) -> bytes:
+    """Returns the body of an answer, which does not count unless the call has run.
+
+    Raises:
+        UpstreamLost: It broke off, or there is no memory for it.
+    """
     if answer.verdict.proves_not_run:
         await answer.drain()
         return b""
     async with answer.response:
-        return await answer.response.body()
+        return await answer.response.body(lambda size: held.add(size, must=True))
--- a/wasabimux/relay/process.py
+++ b/wasabimux/relay/process.py
@@ -22,6 +22,7 @@
     HttpServer,
     json_response,
 )
+from wasabimux.adapters.memory_ledger import limits_of_machine, process_ledger
 from wasabimux.adapters.metrics import ProcessMetrics
 from wasabimux.adapters.relay_metrics import RelayMetrics
 from wasabimux.link.channels import listen_tcp
@@ -87,6 +88,9 @@
     relay_metrics = RelayMetrics(registry)
     platform.store.on_call = relay_metrics.on_store_call
     relay = Relay(settings, platform, timeline, relay_metrics, rng)
+    process_ledger().limits = limits_of_machine(
+        settings.memory_mb, settings.max_descriptors
+    )
     http_server = HttpServer(relay.handle)
     relay.http_server = http_server
 
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -15,6 +15,7 @@
     HttpServer,
     refusal_response,
 )
+from wasabimux.adapters.memory_ledger import process_ledger
 from wasabimux.adapters.relay_metrics import RelayMetrics
 from wasabimux.decisions.aggregation import FleetUsage
 from wasabimux.decisions.exposure import ExposureLimits
@@ -613,6 +614,10 @@
         leaving = sum(item.leaving for item in upstreams)
         paused = sum(item.pause.is_active(now) for item in upstreams)
         self._metrics.set_state("paused_upstreams", paused)
+        ledger = process_ledger()
+        self._metrics.set_state("held_bytes", ledger.held)
+        self._metrics.set_state("ended_clients", ledger.ended)
+        self._metrics.set_state("refused_bodies", ledger.refused)
         self._metrics.set_state("waiting_calls", self.call_lines.waiting)
         self._metrics.set_state("given_places", self.call_lines.held)
         self._metrics.set_state("rollouts_running", self.rollouts.running)
--- a/wasabimux/settings/process.py
+++ b/wasabimux/settings/process.py
@@ -17,6 +17,8 @@
 FIELD_BY_VARIABLE = {
     "RELAY_EXPOSURE_SHARE": "exposure_share",
     "RELAY_EXPOSURE_SLACK": "exposure_slack",
+    "RELAY_MEMORY_MB": "memory_mb",
+    "RELAY_MAX_DESCRIPTORS": "max_descriptors",
 }
 
 
@@ -145,6 +147,9 @@
         exposure_share: Fraction of a service's requests that a bad software version may
             get during a roll-out; 0 to take no roll-outs.
         exposure_slack: Requests that it may get in addition.
+        memory_mb: Memory of the machine that the process may use, in MB; None if
+            unknown.
+        max_descriptors: Descriptors that the process may open; None if unknown.
     """
 
     callers: Address
@@ -163,6 +168,8 @@
     order_lease_ms: float = Field(default=3_000.0, gt=0)
     exposure_share: float = Field(default=0.0, ge=0, le=1)
     exposure_slack: float = Field(default=0.0, ge=0)
+    memory_mb: float | None = Field(default=None, gt=0)
+    max_descriptors: int | None = Field(default=None, gt=0)
 
 
 def relay_environment(environment: Mapping[str, str]) -> dict[str, str]:
