--- a/tests/test_call_line.py
+++ b/tests/test_call_line.py
@@ -8,8 +8,7 @@
 from collections.abc import AsyncGenerator
 
 import pytest
-from hypothesis import given, settings
-from hypothesis import strategies as st
+from hypothesis import given, settings, strategies as st
 
 from benchmarks.calls import Play
 from tests.relay_fixtures import RelayCluster, relay_cluster
--- a/wasabimux/adapters/memory_ledger.py
+++ b/wasabimux/adapters/memory_ledger.py
@@ -151,10 +151,10 @@
             largest = self._largest_waiting(holder)
             if largest is None or not (must or largest.size > holder.size + size):
                 self.refused += 1
-                self._log("body_refused", holder.size + size)
+                self._log("event=body_refused", holder.size + size)
                 return False
             self.ended += 1
-            self._log("client_ended", largest.size)
+            self._log("event=client_ended", largest.size)
             self.release(largest)
             end_wait, largest.end_wait = largest.end_wait, None
             if end_wait is not None:
@@ -182,7 +182,7 @@
         left_out = self._sampler.admit(loop_time())
         if left_out is not None:
             logger.warning(
-                "event=%s bytes=%d held=%d bound=%d left_out=%d",
+                "%s bytes=%d held=%d bound=%d left_out=%d",
                 event,
                 size,
                 self.held,
--- a/wasabimux/decisions/call_line.py
+++ b/wasabimux/decisions/call_line.py
@@ -378,5 +378,6 @@
             room: The upstream.
             free: Its free places, those beyond its slots included.
         """
-        beyond_slots = max(0, self.limit(room) - room.slots - free + 1)
+        given_beyond = self.limit(room) - room.slots - free + 1
+        beyond_slots = max(0, given_beyond, room.waiting)
         return room.slowness * (1.0 + beyond_slots / room.slots), -free
