Accept as before; a shorter queue of new connections bounds descriptors

Change: the server makes its listener again; its queue is 256, not 512, so that no burst of connections goes beyond the descriptors.

--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -25,15 +25,14 @@
 from wasabimux.ports import Headers
 
 MAX_HEAD_BYTES = 32 * 1024
-LISTEN_BACKLOG = 512
+
+#: Connections that wait to be accepted. So many are accepted in one cycle of the event
+#: loop, before those beyond the bound on connections are closed.
+LISTEN_BACKLOG = 256
 
 #: Bytes that a connection buffers beside a body that comes in several pieces.
 RECEIVE_BUFFER_BYTES = READ_BYTES
 
-#: Most connections accepted in one cycle of the event loop, before those beyond the
-#: bound on connections are closed.
-MAX_ACCEPTED_AT_ONCE = 32
-
 WRITE_BUFFER_BYTES = 64 * 1024
 
 #: Most cycles of the event loop in which connections are accepted before a listener
@@ -179,15 +178,14 @@
 
     async def listen(self, host: str, port: int) -> tuple[str, int]:
         """Starts to listen; returns the bound host and port."""
-        listener = socket.create_server((host, port), reuse_port=False)
         self._server = await asyncio.start_server(
             self._accept,
-            sock=listener,
+            host,
+            port,
             ssl=self._tls,
             limit=RECEIVE_BUFFER_BYTES // 2,  # it reads up to twice as much
-            backlog=MAX_ACCEPTED_AT_ONCE,
+            backlog=LISTEN_BACKLOG,
         )
-        listener.listen(LISTEN_BACKLOG)
         bound_address = self._server.sockets[0].getsockname()
         return bound_address[0], bound_address[1]
 
--- a/wasabimux/adapters/memory_ledger.py
+++ b/wasabimux/adapters/memory_ledger.py
@@ -150,11 +150,9 @@
         while self.held + size > bound:
             largest = self._largest_waiting(holder)
             if largest is None or not (must or largest.size > holder.size + size):
-                self.refused += 1
-                self._log("event=body_refused", holder.size + size)
+                self._on_refused(holder.size + size)
                 return False
-            self.ended += 1
-            self._log("event=client_ended", largest.size)
+            self._on_ended(largest.size)
             self.release(largest)
             end_wait, largest.end_wait = largest.end_wait, None
             if end_wait is not None:
@@ -178,15 +176,25 @@
         ]
         return max(waiting, key=lambda holder: holder.size, default=None)
 
-    def _log(self, event: str, size: int) -> None:
+    def _on_refused(self, size: int) -> None:
+        self.refused += 1
         left_out = self._sampler.admit(loop_time())
         if left_out is not None:
             logger.warning(
-                "%s bytes=%d held=%d bound=%d left_out=%d",
-                event,
+                "event=body_refused bytes=%d held=%d left_out=%d",
+                size,
+                self.held,
+                left_out,
+            )
+
+    def _on_ended(self, size: int) -> None:
+        self.ended += 1
+        left_out = self._sampler.admit(loop_time())
+        if left_out is not None:
+            logger.warning(
+                "event=client_ended bytes=%d held=%d left_out=%d",
                 size,
                 self.held,
-                self.limits.held_bytes,
                 left_out,
             )
 
