--- a/benchmarks/calls.py
+++ b/benchmarks/calls.py
@@ -28,7 +28,11 @@
 )
 from wasabimux.decisions.upstream_choice import CallCandidate, choose_upstream
 from wasabimux.ids import UpstreamId
-from wasabimux.relay.call_lines import BUSY_FRACTION, SERVE_INTERVAL_S
+from wasabimux.relay.call_lines import (
+    BUSY_KEPT_S,
+    BUSY_WAITING_PER_SLOT,
+    SERVE_INTERVAL_S,
+)
 
 UPSTREAMS = 3
 SLOTS = 6
@@ -177,6 +181,7 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._now = 0.0
+        self._busy_until_s = 0.0
 
     def run(self) -> Result:
         """Plays the load and returns what callers got."""
@@ -226,7 +231,10 @@
         return WARM_UP_S <= call.begun_s < self._end_s
 
     def _try(self, call: Call) -> None:
-        busy = sum(self._known_running.values()) >= BUSY_FRACTION * UPSTREAMS * SLOTS
+        waiting = min(self._known_running.values()) - SLOTS
+        if waiting >= BUSY_WAITING_PER_SLOT * SLOTS:
+            self._busy_until_s = self._now + BUSY_KEPT_S
+        busy = self._now < self._busy_until_s
         if self._with_line and (busy or self._line.waiting):
             self._at(2 * HOP_S, lambda: self._enter(call))
         else:
--- a/wasabimux/relay/call_lines.py
+++ b/wasabimux/relay/call_lines.py
@@ -1,8 +1,9 @@
 """Places for calls at upstreams of plain services, from one line for all relays.
 
-While the upstreams of a service have room, calls are sent at once and nothing is asked.
-Once they are busy, each call asks the relay that owns the service's line for a place
-and waits there with the calls of all relays. See `wasabimux.decisions.call_line`.
+While an upstream of a service has a short queue, calls are sent at once and nothing is
+asked. Once all have long ones, each call asks the relay that owns the service's line
+for a place and waits there with the calls of all relays. See
+`wasabimux.decisions.call_line`.
 
 A relay that hears nothing from the owner sends its calls at once, as if there was no
 line; then the upstreams' own queues fill, and nothing else is lost.
@@ -40,9 +41,9 @@
 from wasabimux.relay.placing import UpstreamSelector
 from wasabimux.relay.upstreams import Upstream
 
-#: Fraction of a service's slots in use from which its calls ask for places, and time in
-#: s after which they no longer do once less is in use.
-BUSY_FRACTION = 0.9
+#: Calls that wait at each upstream of a service, for each of its slots, from which
+#: calls ask for places, and time in s after which they no longer do once fewer wait.
+BUSY_WAITING_PER_SLOT = 1.0
 BUSY_KEPT_S = 1.0
 
 #: Time in s in which the owner of a line replies that a call waits, has a place or is
@@ -274,14 +275,11 @@
         upstreams = self._selector.usable(service, now, [])
         if not upstreams or any(item.told_load is None for item in upstreams):
             return False
-        slots = sum(item.record.slots for item in upstreams)
-        running = sum(
-            item.running + self._selector.peer_load(item.id).running
-            for item in upstreams
-        )
         loads = [item.fresh_load(now) for item in upstreams]
-        has_waiting = any(load is not None and load.waiting for load in loads)
-        if has_waiting or running >= BUSY_FRACTION * slots:
+        fresh = [load for load in loads if load is not None]
+        if fresh and all(
+            load.waiting >= BUSY_WAITING_PER_SLOT * load.slots for load in fresh
+        ):
             self._busy_until_s[service] = now + BUSY_KEPT_S
         return now < self._busy_until_s.get(service, 0.0)
 
