--- a/wasabimux/relay/slots.py
+++ b/wasabimux/relay/slots.py
@@ -193,7 +193,7 @@
             self._refuse_if_wait_too_long(request, now)
         stream = WaitingStream(
             next(self._numbers),
-            request.priority,
+            request.route.priority,
             request.beyond_share,
             request.is_client_retry,
             self._expected_stream(request).forecast(),
