Keep an engine that called a request misdirected out of use until its phase changes

Cause: since one 421 no longer keeps a plain upstream out for good, the end of an earlier stream made an engine in a phase change usable again, and prompts were read in vain. Change: only plain upstreams come back so. A type of the roll-outs has a name of its own.

--- a/tests/test_answers_of_upstreams.py
+++ b/tests/test_answers_of_upstreams.py
@@ -241,6 +241,15 @@
     assert got == 200
 
 
+async def test_engine_that_ends_earlier_streams_is_not_used_before_its_change() -> None:
+    """Regression: a stream that ended made an engine in phase change usable again."""
+    async with relay_cluster() as cluster:
+        engine = cluster.relays[0].relay.pool.by_id["dec-1"]
+        engine.on_misdirected(0.0)
+        engine.on_accepted()
+        assert engine.misdirected
+
+
 async def test_reservation_refused_once_more_keeps_no_stream_from_its_slot() -> None:
     async with relay_cluster() as cluster:
         refused = answer(503, None, b"{}")
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -19,7 +19,7 @@
     tried_upstreams,
 )
 from wasabimux.decisions.rollout import (
-    Finding,
+    Judgement,
     Progress,
     RolloutOrder,
     RolloutStep,
@@ -76,31 +76,31 @@
 
 
 @pytest.mark.parametrize(
-    ("step", "elapsed_s", "old_running", "finding", "expected"),
+    ("step", "elapsed_s", "old_running", "judgement", "expected"),
     [
-        (RolloutStep.TRIAL, 1.0, 5, Finding.GOOD, RolloutStep.TRIAL),
-        (RolloutStep.TRIAL, 1.0, 5, Finding.BAD, RolloutStep.ROLLED_BACK),
-        (RolloutStep.TRIAL, 11.0, 5, Finding.GOOD, RolloutStep.MOVING),
-        (RolloutStep.TRIAL, 11.0, 5, Finding.DOUBTFUL, RolloutStep.TRIAL),
-        (RolloutStep.TRIAL, 16.0, 5, Finding.LIKELY_GOOD, RolloutStep.MOVING),
-        (RolloutStep.TRIAL, 16.0, 5, Finding.DOUBTFUL, RolloutStep.ROLLED_BACK),
-        (RolloutStep.MOVING, 16.0, 5, Finding.GOOD, RolloutStep.MOVING),
-        (RolloutStep.MOVING, 16.0, 0, Finding.GOOD, RolloutStep.COMPLETED),
-        (RolloutStep.MOVING, 16.0, 5, Finding.BAD, RolloutStep.ROLLED_BACK),
-        (RolloutStep.MOVING, 19.5, 5, Finding.GOOD, RolloutStep.COMPLETED),
-        (RolloutStep.COMPLETED, 19.5, 0, Finding.BAD, RolloutStep.COMPLETED),
-        (RolloutStep.ROLLED_BACK, 19.5, 0, Finding.GOOD, RolloutStep.ROLLED_BACK),
+        (RolloutStep.TRIAL, 1.0, 5, Judgement.GOOD, RolloutStep.TRIAL),
+        (RolloutStep.TRIAL, 1.0, 5, Judgement.BAD, RolloutStep.ROLLED_BACK),
+        (RolloutStep.TRIAL, 11.0, 5, Judgement.GOOD, RolloutStep.MOVING),
+        (RolloutStep.TRIAL, 11.0, 5, Judgement.DOUBTFUL, RolloutStep.TRIAL),
+        (RolloutStep.TRIAL, 16.0, 5, Judgement.LIKELY_GOOD, RolloutStep.MOVING),
+        (RolloutStep.TRIAL, 16.0, 5, Judgement.DOUBTFUL, RolloutStep.ROLLED_BACK),
+        (RolloutStep.MOVING, 16.0, 5, Judgement.GOOD, RolloutStep.MOVING),
+        (RolloutStep.MOVING, 16.0, 0, Judgement.GOOD, RolloutStep.COMPLETED),
+        (RolloutStep.MOVING, 16.0, 5, Judgement.BAD, RolloutStep.ROLLED_BACK),
+        (RolloutStep.MOVING, 19.5, 5, Judgement.GOOD, RolloutStep.COMPLETED),
+        (RolloutStep.COMPLETED, 19.5, 0, Judgement.BAD, RolloutStep.COMPLETED),
+        (RolloutStep.ROLLED_BACK, 19.5, 0, Judgement.GOOD, RolloutStep.ROLLED_BACK),
     ],
 )
 def test_steps_follow_from_progress_and_answers(
     step: RolloutStep,
     elapsed_s: float,
     old_running: int,
-    finding: Finding,
+    judgement: Judgement,
     expected: RolloutStep,
 ) -> None:
     progress = Progress(step, elapsed_s, old_running)
-    assert next_step(ORDER, progress, Verdict(finding, ""))[0] is expected
+    assert next_step(ORDER, progress, Verdict(judgement, ""))[0] is expected
 
 
 @pytest.mark.parametrize("relays", [1, 25, 771])
--- a/wasabimux/decisions/rollout.py
+++ b/wasabimux/decisions/rollout.py
@@ -112,7 +112,7 @@
     limit_s: float
 
 
-class Finding(Enum):
+class Judgement(Enum):
     """What the answers of a version show.
 
     Attributes:
@@ -131,7 +131,7 @@
 class Verdict(NamedTuple):
     """What the answers of a version show, and why, for operators."""
 
-    finding: Finding
+    judgement: Judgement
     reason: str
 
 
@@ -162,7 +162,7 @@
     step, elapsed_s, old_running = progress
     if step.is_final:
         return step, ""
-    if verdict.finding is Finding.BAD:
+    if verdict.judgement is Judgement.BAD:
         return RolloutStep.ROLLED_BACK, verdict.reason
     if step is RolloutStep.MOVING:
         if not old_running:
@@ -172,11 +172,11 @@
         return step, ""
     if elapsed_s < MIN_TRIAL_FRACTION * order.limit_s:
         return step, ""
-    if verdict.finding is Finding.GOOD:
+    if verdict.judgement is Judgement.GOOD:
         return RolloutStep.MOVING, verdict.reason
     if elapsed_s < MAX_TRIAL_FRACTION * order.limit_s:
         return step, ""
-    if verdict.finding is Finding.LIKELY_GOOD:
+    if verdict.judgement is Judgement.LIKELY_GOOD:
         return RolloutStep.MOVING, verdict.reason
     return RolloutStep.ROLLED_BACK, verdict.reason
 
@@ -220,17 +220,19 @@
                 compared = self._comparisons(samples)
                 reasons = [item.fault() for item in compared] + [_slow_on_all(compared)]
                 for reason in filter(None, reasons):
-                    return Verdict(Finding.BAD, reason)
+                    return Verdict(Judgement.BAD, reason)
         comparisons = self._comparisons(self._latest)
         if sum(item.new_answers for item in comparisons) < MIN_TRIAL_ANSWERS:
-            return Verdict(Finding.DOUBTFUL, "too few answers of the new version")
+            return Verdict(Judgement.DOUBTFUL, "too few answers of the new version")
         for item in comparisons:
             if item.is_doubtful:
                 text = f"route {item.route}: the new version is rather worse"
-                return Verdict(Finding.DOUBTFUL, text)
+                return Verdict(Judgement.DOUBTFUL, text)
         if all(item.is_good for item in comparisons if item.is_wanted):
-            return Verdict(Finding.GOOD, "the answers are as good as those before")
-        return Verdict(Finding.LIKELY_GOOD, "nothing shows that the answers are worse")
+            return Verdict(Judgement.GOOD, "the answers are as good as those before")
+        return Verdict(
+            Judgement.LIKELY_GOOD, "nothing shows that the answers are worse"
+        )
 
     def _has_tried_enough(self) -> bool:
         """Returns whether a fault cannot be that of one upstream alone."""
--- a/wasabimux/relay/rollouts.py
+++ b/wasabimux/relay/rollouts.py
@@ -22,7 +22,7 @@
 )
 from wasabimux.decisions.placement import rendezvous_top
 from wasabimux.decisions.rollout import (
-    Finding,
+    Judgement,
     Progress,
     RolloutEvidence,
     RolloutOrder,
@@ -250,7 +250,7 @@
         new, _ = self._by_version(rollout, None)
         rollout.evidence.on_sums(samples, max(1, len(new)), now)
         verdict = rollout.evidence.verdict(now)
-        if verdict.finding is Finding.BAD and not rollout.is_suspended:
+        if verdict.judgement is Judgement.BAD and not rollout.is_suspended:
             rollout.is_suspended = True
             self._timeline.record(
                 "rollout_suspended",
@@ -264,8 +264,8 @@
         self, rollout: _Rollout, known: KnownRollout, verdict: Verdict, now: float
     ) -> None:
         """Writes the step of a roll-out if it has changed, or was never written."""
-        if rollout.is_suspended and verdict.finding is not Finding.BAD:
-            verdict = Verdict(Finding.BAD, "its answers were bad before")
+        if rollout.is_suspended and verdict.judgement is not Judgement.BAD:
+            verdict = Verdict(Judgement.BAD, "its answers were bad before")
         elapsed_s = self._elapsed_s(rollout, known.record, now)
         progress = Progress(rollout.step, elapsed_s, self._old_running(rollout, now))
         step, reason = next_step(rollout.order, progress, verdict)
--- a/wasabimux/relay/upstreams.py
+++ b/wasabimux/relay/upstreams.py
@@ -255,8 +255,11 @@
         return self._misdirection.is_active(loop_time())
 
     def on_accepted(self) -> None:
-        """Records that the upstream has run a request, which it takes for its own."""
-        if self._misdirection.count:
+        """Records that the upstream has run a request, which it takes for its own.
+
+        An engine may still end what it began before its phase changed.
+        """
+        if self._misdirection.count and self.phase is None:
             self._misdirection = Misdirection()
 
     def on_misdirected(self, now: float) -> None:
