--- a/tests/test_answers_of_upstreams.py
+++ b/tests/test_answers_of_upstreams.py
@@ -18,6 +18,7 @@
 )
 from tests.relay_fixtures import RelayCluster, relay_cluster
 from wasabimux.relay.model import Phase
+from wasabimux.relay.upstreams import Misdirection
 
 DESKS = ("desk-1", "desk-2")
 DECODERS = ("dec-1", "dec-2", "dec-3")
@@ -105,7 +106,7 @@
         upstream = stutters(lambda item: not_run(status, item.id))
         async with raw_upstream(cluster, DESKS, upstream):
             await ask(cluster, "/unsafe/1", "r1")
-            cluster.relays[0].relay.pool.by_id["raw"].on_accepted()
+            cluster.relays[0].relay.pool.by_id["raw"]._misdirection = Misdirection()
             got, _, body = await ask(cluster, "/unsafe/2", "r2")
     ids = [item.id for item in upstream.requests]
     assert ids.count(b"r2") == 1
@@ -165,7 +166,7 @@
         async with raw_upstream(cluster, DECODERS, upstream):
             await ask(cluster, path, "s1", **TOKENS)
             raw = cluster.relays[0].relay.pool.by_id["raw"]
-            raw.on_accepted()
+            raw._misdirection = Misdirection()
             raw.health.on_success(0.0, 0.0)
             got, _, body = await ask(cluster, path, "s2", **TOKENS)
     starts = [item for item in upstream.requests if item.id == b"s2"]
--- a/wasabimux/adapters/http_receiver.py
+++ b/wasabimux/adapters/http_receiver.py
@@ -32,8 +32,7 @@
         http: The h11 connection.
         reader: Reader of the TCP connection.
         turn: Turn of the TCP connection.
-        max_fields: Most fields of a head or of trailers; each costs far more memory
-            than its bytes.
+        max_fields: Most fields of a head; each costs far more memory than its bytes.
     """
 
     def __init__(
