Pass requests on to owners in one module; one identity of a peer's request

The slot arbiter and the lines of calls each kept what they had passed on, under ids of the same shape, and each asked in its own way who acts for all relays. PassedRequests, PeerRequestId and Mesh.is_first_to_act serve both. A line is found by its call, so that no second index keeps calls whose places have run out.

--- a/benchmarks/calls.py
+++ b/benchmarks/calls.py
@@ -21,13 +21,12 @@
 from dataclasses import dataclass, field
 
 from wasabimux.decisions.call_line import (
-    CallId,
     CallLine,
     LineCall,
     UpstreamRoom,
 )
 from wasabimux.decisions.upstream_choice import CallCandidate, choose_upstream
-from wasabimux.ids import UpstreamId
+from wasabimux.ids import PeerRequestId, UpstreamId
 from wasabimux.relay.call_lines import (
     BUSY_KEPT_S,
     BUSY_WAITING_PER_SLOT,
@@ -177,7 +176,7 @@
             for number in range(UPSTREAMS)
         }
         self._known_running = dict.fromkeys(self._upstreams, 0)
-        self._call_by_id: dict[CallId, tuple[Call, float]] = {}
+        self._call_by_id: dict[PeerRequestId, tuple[Call, float]] = {}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._now = 0.0
@@ -250,7 +249,7 @@
         self._send(call, chosen, lambda done: None)
 
     def _enter(self, call: Call) -> None:
-        call_id = CallId("r", next(self._order))
+        call_id = PeerRequestId("r", next(self._order))
         line_call = LineCall(
             call_id,
             str(call.workspace),
--- a/tests/test_call_line.py
+++ b/tests/test_call_line.py
@@ -13,9 +13,9 @@
 from benchmarks.calls import Play
 from tests.relay_fixtures import RelayCluster, relay_cluster
 from wasabimux._clock import loop_time
-from wasabimux.decisions.call_line import CallId, CallLine, LineCall, UpstreamRoom
+from wasabimux.decisions.call_line import CallLine, LineCall, UpstreamRoom
 from wasabimux.decisions.told_load import ToldLoad
-from wasabimux.ids import UpstreamId
+from wasabimux.ids import PeerRequestId, UpstreamId
 from wasabimux.platform.headers import PlatformHeaderCodec
 
 ROOMS = [UpstreamRoom(UpstreamId(name), 4, 0, 1.0) for name in ("u1", "u2")]
@@ -36,7 +36,7 @@
 ) -> LineCall:
     """Returns a call that arrives at 0 s."""
     return LineCall(
-        CallId(relay, number),
+        PeerRequestId(relay, number),
         workspace,
         priority,
         beyond_share,
@@ -61,7 +61,7 @@
     """Frees a place at a time, and returns the numbers of the calls that get one."""
     numbers = []
     for number in range(PLACES):
-        line.remove(CallId("r", number))
+        line.remove(PeerRequestId("r", number))
         numbers += [place.call.number for place in line.serve(ROOMS, now)[0]]
     return numbers
 
--- a/tests/test_relief.py
+++ b/tests/test_relief.py
@@ -15,14 +15,14 @@
     forecast,
     sum_forecasts,
 )
-from wasabimux.decisions.slot_grants import MAX_GRANT_S, GrantId, SlotGrants
+from wasabimux.decisions.slot_grants import MAX_GRANT_S, SlotGrants
 from wasabimux.decisions.stream_migration import (
     MigratableStream,
     StreamMigration,
     is_nearly_full,
     next_migration,
 )
-from wasabimux.ids import UpstreamId
+from wasabimux.ids import PeerRequestId, UpstreamId
 
 MEMORY_TOKENS = 87_238
 SLOTS = 16
@@ -92,7 +92,7 @@
     now: float = 0.0,
 ) -> bool:
     """Requests a slot for a relay from the owner of an engine."""
-    return grants.try_grant(engine, SLOTS, GrantId("relay", number), memory, now)
+    return grants.try_grant(engine, SLOTS, PeerRequestId("relay", number), memory, now)
 
 
 def test_an_owner_counts_grants_until_they_are_released() -> None:
@@ -102,7 +102,7 @@
     assert try_grant(grants, empty, 1, half)
     assert not try_grant(grants, empty, 2, half, 0.9 * MAX_GRANT_S)
     assert try_grant(grants, capacity("other", flat(0.0)), 3, half)
-    grants.release(GrantId("relay", 1))
+    grants.release(PeerRequestId("relay", 1))
     assert try_grant(grants, empty, 4, half, 0.9 * MAX_GRANT_S)
 
 
@@ -196,7 +196,7 @@
         for streams in by_engine.values():
             for ended in grow(streams):
                 if grants is not None:
-                    grants.release(GrantId(str(ended.relay), id(ended)))
+                    grants.release(PeerRequestId(str(ended.relay), id(ended)))
         history.append({name: list(streams) for name, streams in by_engine.items()})
         reported = history[-min(len(history), REPORT_DELAY_STEPS)]
         for relay in range(relays):
@@ -254,7 +254,7 @@
         there = reported[chosen.upstream]
         used_there = sum_forecasts([item.memory for item in there])
         owner_view = capacity(chosen.upstream, used_there, len(there))
-        grant = GrantId(str(relay), id(stream))
+        grant = PeerRequestId(str(relay), id(stream))
         if not grants.try_grant(owner_view, SLOTS, grant, stream.memory, now):
             return
     by_engine[chosen.upstream].append(stream)
--- a/wasabimux/decisions/answers.py
+++ b/wasabimux/decisions/answers.py
@@ -13,6 +13,10 @@
 STATUS_MISDIRECTED = 421
 
 
+#: Statuses from which a response is a failure of the upstream.
+STATUS_SERVER_ERROR = 500
+
+
 class AnswerVerdict(Enum):
     """What an answer says of a request.
 
--- a/wasabimux/decisions/call_line.py
+++ b/wasabimux/decisions/call_line.py
@@ -21,7 +21,7 @@
 from typing import NamedTuple
 
 from wasabimux.decisions.fair_queue import FairQueueTags
-from wasabimux.ids import UpstreamId
+from wasabimux.ids import PeerRequestId, UpstreamId
 
 #: Time in s from the end of a call until the next one arrives at the upstream, over up
 #: to four relays of which each may be late. For so long an upstream needs calls beyond
@@ -49,18 +49,6 @@
 MIN_LEFT_FRACTION = 0.5
 
 
-class CallId(NamedTuple):
-    """Identity of a call in a line.
-
-    Attributes:
-        relay: Relay that serves the call.
-        number: Number of the call, unique at that relay.
-    """
-
-    relay: str
-    number: int
-
-
 class LineCall(NamedTuple):
     """A call that asks for a place at an upstream.
 
@@ -75,7 +63,7 @@
         avoid: Upstreams to exclude.
     """
 
-    id: CallId
+    id: PeerRequestId
     workspace: str
     priority: int
     beyond_share: bool
@@ -104,14 +92,14 @@
 class Place(NamedTuple):
     """A place at an upstream that a call has got."""
 
-    call: CallId
+    call: PeerRequestId
     upstream: UpstreamId
 
 
 class Refused(NamedTuple):
     """A call that cannot be served in time, and when its caller may come back."""
 
-    call: CallId
+    call: PeerRequestId
     retry_after_s: float
 
 
@@ -148,8 +136,8 @@
     """
 
     mean_s: float = 0.0
-    _waiting_by_id: dict[CallId, _Waiting] = field(default_factory=dict)
-    _held_by_id: dict[CallId, _Held] = field(default_factory=dict)
+    _waiting_by_id: dict[PeerRequestId, _Waiting] = field(default_factory=dict)
+    _held_by_id: dict[PeerRequestId, _Held] = field(default_factory=dict)
     _tags: FairQueueTags = field(default_factory=FairQueueTags)
     _next_return_s: float = 0.0
     _arrivals_s: deque[float] = field(default_factory=deque)
@@ -186,11 +174,15 @@
         self._waiting_by_id[call.id] = waiting
         return None
 
-    def is_waiting(self, call: CallId) -> bool:
+    def is_waiting(self, call: PeerRequestId) -> bool:
         """Returns whether a call waits."""
         return call in self._waiting_by_id
 
-    def remove(self, call: CallId) -> UpstreamId | None:
+    def has(self, call: PeerRequestId) -> bool:
+        """Returns whether a call waits or holds a place."""
+        return call in self._waiting_by_id or call in self._held_by_id
+
+    def remove(self, call: PeerRequestId) -> UpstreamId | None:
         """Ends a call's wait, or its hold of a place.
 
         Returns:
@@ -202,7 +194,7 @@
         held = self._held_by_id.pop(call, None)
         return None if held is None else held.upstream
 
-    def on_served(self, call: CallId, slowness: float, now: float) -> None:
+    def on_served(self, call: PeerRequestId, slowness: float, now: float) -> None:
         """Learns from the time for which a call that was served held its place.
 
         Args:
--- a/wasabimux/decisions/slot_grants.py
+++ b/wasabimux/decisions/slot_grants.py
@@ -18,24 +18,12 @@
     max_forecast,
     sum_forecasts,
 )
-from wasabimux.ids import UpstreamId
+from wasabimux.ids import PeerRequestId, UpstreamId
 
 #: Time in s after which a grant ends although its release was not received.
 MAX_GRANT_S = 20.0
 
 
-class GrantId(NamedTuple):
-    """Identity of a grant.
-
-    Attributes:
-        relay: Relay that the slot was granted to.
-        number: Number of the grant, unique at that relay.
-    """
-
-    relay: str
-    number: int
-
-
 class _Grant(NamedTuple):
     upstream: UpstreamId
     memory: MemoryForecast
@@ -46,13 +34,13 @@
     """Grants of one owner."""
 
     def __init__(self) -> None:
-        self._grant_by_id: dict[GrantId, _Grant] = {}
+        self._grant_by_id: dict[PeerRequestId, _Grant] = {}
 
     def try_grant(
         self,
         engine: EngineCapacity,
         slots: int,
-        grant: GrantId,
+        grant: PeerRequestId,
         memory: MemoryForecast,
         now: float,
     ) -> bool:
@@ -80,7 +68,7 @@
         self._grant_by_id[grant] = _Grant(engine.upstream, memory, now)
         return True
 
-    def release(self, grant: GrantId) -> None:
+    def release(self, grant: PeerRequestId) -> None:
         """Ends a grant."""
         self._grant_by_id.pop(grant, None)
 
--- a/wasabimux/ids.py
+++ b/wasabimux/ids.py
@@ -45,6 +45,18 @@
     return Incarnation(secrets.randbits(INCARNATION_BITS) | 1)
 
 
+class PeerRequestId(NamedTuple):
+    """Identity of what one relay has requested of another.
+
+    Attributes:
+        relay: Address of the relay that requests.
+        number: Number of the request, unique at that relay.
+    """
+
+    relay: str
+    number: int
+
+
 class StoreRevision(NamedTuple):
     """Revision of the platform's store; revisions compare by era first.
 
--- a/wasabimux/relay/call_lines.py
+++ b/wasabimux/relay/call_lines.py
@@ -19,7 +19,6 @@
 from wasabimux._clock import loop_time
 from wasabimux.adapters.relay_metrics import RelayMetrics
 from wasabimux.decisions.call_line import (
-    CallId,
     CallLine,
     LineCall,
     Refused,
@@ -27,7 +26,7 @@
 )
 from wasabimux.decisions.told_load import ToldLoad
 from wasabimux.errors import ErrorCode
-from wasabimux.ids import UpstreamId
+from wasabimux.ids import PeerRequestId, UpstreamId
 from wasabimux.link.link import Link
 from wasabimux.link.messages import (
     PlaceRelease,
@@ -37,7 +36,11 @@
 )
 from wasabimux.relay.context import RESPONSE_MARGIN_S, RelayRequest
 from wasabimux.relay.mesh import Mesh
-from wasabimux.relay.owner_directory import OwnerDirectory
+from wasabimux.relay.owner_directory import (
+    OwnerDirectory,
+    PassedRequest,
+    PassedRequests,
+)
 from wasabimux.relay.placing import UpstreamSelector
 from wasabimux.relay.upstreams import Upstream
 
@@ -88,14 +91,6 @@
     is_known: asyncio.Event = field(default_factory=asyncio.Event)
 
 
-class _Passed(NamedTuple):
-    """A request of another relay that was passed on to the owner of the line."""
-
-    relay: str
-    number: int
-    owner: str
-
-
 class CallLines:
     """Asks for places, and gives places as an owner.
 
@@ -114,10 +109,8 @@
         self._owners = OwnerDirectory(mesh)
         self._numbers = itertools.count(1)
         self._line_by_service: dict[str, CallLine] = {}
-        self._service_by_call: dict[CallId, str] = {}
         self._asked_by_number: dict[int, _Asked] = {}
-        self._passed_by_number: dict[int, _Passed] = {}
-        self._number_by_passed: dict[CallId, int] = {}
+        self._passed = PassedRequests()
         self._busy_until_s: dict[str, float] = {}
 
     @property
@@ -201,21 +194,19 @@
         if self._owners.may_pass_on(relay, owner):
             number = next(self._numbers)
             if self._mesh.send_to(owner, request._replace(correlation_id=number)):
-                passed = _Passed(relay, request.correlation_id, owner)
-                self._passed_by_number[number] = passed
-                self._number_by_passed[CallId(relay, passed.number)] = number
+                call = PeerRequestId(relay, request.correlation_id)
+                self._passed.add(PassedRequest(number, call, owner))
                 return
         self._add(relay, request)
 
     def on_place_reply(self, reply: PlaceReply) -> None:
         """Takes over what the owner of a line says of a call."""
-        passed = self._passed_by_number.get(reply.correlation_id)
+        passed = self._passed.by_number(reply.correlation_id)
         if passed is not None:
-            self._mesh.send_to(
-                passed.relay, reply._replace(correlation_id=passed.number)
-            )
+            relay, number = passed.request
+            self._mesh.send_to(relay, reply._replace(correlation_id=number))
             if reply.state is PlaceState.REFUSED:
-                self._forget_passed(reply.correlation_id)
+                self._passed.take(passed.request)
             return
         asked = self._asked_by_number.get(reply.correlation_id)
         if asked is None:
@@ -230,29 +221,23 @@
         relay = self._mesh.address_of(link)
         if relay is None:
             return
-        call = CallId(relay, release.correlation_id)
-        number = self._number_by_passed.get(call)
-        if number is not None:
-            owner = self._passed_by_number[number].owner
-            self._mesh.send_to(owner, release._replace(correlation_id=number))
-            self._forget_passed(number)
-            return
-        self._free(call, release)
+        call = PeerRequestId(relay, release.correlation_id)
+        passed = self._passed.take(call)
+        if passed is None:
+            self._free(call, release)
+        else:
+            passed_on = release._replace(correlation_id=passed.number)
+            self._mesh.send_to(passed.owner, passed_on)
 
     def on_relay_lost(self, relay: str) -> None:
         """Ends the calls of a relay that is gone, and the waits for its replies."""
         for line in self._line_by_service.values():
             line.remove_relay(relay)
-        for call in [item for item in self._service_by_call if item.relay == relay]:
-            del self._service_by_call[call]
-        for number, passed in list(self._passed_by_number.items()):
-            if relay == passed.relay:
-                self._mesh.send_to(passed.owner, PlaceRelease(number))
-                self._forget_passed(number)
-            elif relay == passed.owner:
-                lost = PlaceReply(passed.number, PlaceState.LOST)
-                self._mesh.send_to(passed.relay, lost)
-                self._forget_passed(number)
+        for passed in self._passed.take_from(relay):
+            self._mesh.send_to(passed.owner, PlaceRelease(passed.number))
+        for passed in self._passed.take_to(relay):
+            lost = PlaceReply(passed.request.number, PlaceState.LOST)
+            self._mesh.send_to(passed.request.relay, lost)
         for asked in self._asked_by_number.values():
             if asked.relay == relay and not asked.reply.done():
                 asked.is_known.set()
@@ -323,7 +308,7 @@
         now = loop_time()
         line = self._line_by_service.setdefault(request.service, CallLine())
         call = LineCall(
-            CallId(relay, request.correlation_id),
+            PeerRequestId(relay, request.correlation_id),
             request.workspace,
             request.priority,
             request.beyond_share,
@@ -337,17 +322,21 @@
         if refused is not None:
             self._tell_refused([refused])
             return
-        self._service_by_call[call.id] = request.service
         self._serve(request.service, now)
         if line.is_waiting(call.id):
             self._tell(call.id, PlaceState.WAITS)
 
-    def _free(self, call: CallId, release: PlaceRelease) -> None:
-        service = self._service_by_call.pop(call, None)
-        if service is None:
-            return
+    def _free(self, call: PeerRequestId, release: PlaceRelease) -> None:
         now = loop_time()
-        line = self._line_by_service[service]
+        for service, line in self._line_by_service.items():
+            if line.has(call):
+                self._free_in(line, call, release, now)
+                self._serve(service, now)
+
+    def _free_in(
+        self, line: CallLine, call: PeerRequestId, release: PlaceRelease, now: float
+    ) -> None:
+        """Ends a call in its line, which learns from how the call was served."""
         if release.took_s:
             slowness = 1.0 if release.load is None else release.load.slowness
             line.on_served(call, slowness, now)
@@ -355,7 +344,6 @@
         upstream = None if upstream_id is None else self._selector.by_id(upstream_id)
         if upstream is not None and release.load is not None:
             upstream.on_told_load(release.load, now)
-        self._serve(service, now)
 
     def _serve_all(self) -> None:
         now = loop_time()
@@ -377,13 +365,12 @@
 
     def _tell_refused(self, refused: list[Refused]) -> None:
         for refusal in refused:
-            self._service_by_call.pop(refusal.call, None)
             retry_after_s = refusal.retry_after_s
             self._tell(refusal.call, PlaceState.REFUSED, retry_after_s=retry_after_s)
 
     def _tell(
         self,
-        call: CallId,
+        call: PeerRequestId,
         state: PlaceState,
         upstream: str = "",
         retry_after_s: float = 0.0,
@@ -396,14 +383,10 @@
 
     def _release(self, relay: str, release: PlaceRelease) -> None:
         if relay == self._mesh.address:
-            self._free(CallId(relay, release.correlation_id), release)
+            self._free(PeerRequestId(relay, release.correlation_id), release)
         else:
             self._mesh.send_to(relay, release)
 
-    def _forget_passed(self, number: int) -> None:
-        passed = self._passed_by_number.pop(number)
-        self._number_by_passed.pop(CallId(passed.relay, passed.number), None)
-
     def _rooms(self, service: str, now: float) -> list[UpstreamRoom]:
         """Returns what the upstreams of a service can work on."""
         rooms = []
--- a/wasabimux/relay/mesh.py
+++ b/wasabimux/relay/mesh.py
@@ -17,6 +17,7 @@
     Scope,
     UsageReport,
 )
+from wasabimux.decisions.placement import rendezvous_top
 from wasabimux.decisions.usage_sums import NO_USAGE, Usage
 from wasabimux.entry.peers import PeerLinks
 from wasabimux.link.link import Link
@@ -146,6 +147,19 @@
                 live.append(self.address)
         return live
 
+    def is_first_to_act(self, key: str, now: float) -> bool:
+        """Returns whether this relay is the one that acts for all in some matter.
+
+        It is one of the aggregators that reach the platform's store, which agree on it
+        while they hear one another.
+
+        Args:
+            key: Name of the matter.
+            now: Current time in s.
+        """
+        candidates = self.live_aggregators(now, store_reachable=True)
+        return rendezvous_top(key.encode(), candidates, 1) == [self.address]
+
     def relay_counts(self) -> RelayCounts:
         """Returns the numbers of known and of silent relays of the whole fleet."""
         return self._counts
--- a/wasabimux/relay/owners.py
+++ b/wasabimux/relay/owners.py
@@ -13,13 +13,17 @@
 
 from wasabimux._clock import loop_time
 from wasabimux.decisions.memory_forecast import ZERO_FORECAST, MemoryForecast
-from wasabimux.decisions.slot_grants import GrantId, SlotGrants
-from wasabimux.ids import UpstreamId
+from wasabimux.decisions.slot_grants import SlotGrants
+from wasabimux.ids import PeerRequestId, UpstreamId
 from wasabimux.link.link import Link
 from wasabimux.link.messages import SlotGrantReply, SlotGrantRequest, SlotRelease
 from wasabimux.relay.mesh import Mesh
 from wasabimux.relay.model import ServiceProfile
-from wasabimux.relay.owner_directory import OwnerDirectory
+from wasabimux.relay.owner_directory import (
+    OwnerDirectory,
+    PassedRequest,
+    PassedRequests,
+)
 from wasabimux.relay.placing import UpstreamSelector
 from wasabimux.relay.upstreams import Upstream
 from wasabimux.relay.view import FleetView
@@ -41,20 +45,6 @@
     asked: str = ""
 
 
-class _Passed(NamedTuple):
-    """A request of another relay, passed on to an owner.
-
-    Attributes:
-        link: Link to the relay that waits for the reply.
-        grant: The relay and the number of its request.
-        owner: Address of the owner.
-    """
-
-    link: Link
-    grant: GrantId
-    owner: str
-
-
 class SlotArbiter:
     """Requests slots from owners of engines, and grants slots as an owner.
 
@@ -80,8 +70,7 @@
         self._grants = SlotGrants()
         self._numbers = itertools.count(1)
         self._pending: dict[int, asyncio.Future[bool]] = {}
-        self._passed_by_number: dict[int, _Passed] = {}
-        self._number_by_grant: dict[GrantId, int] = {}
+        self._passed = PassedRequests()
 
     async def request_grant(
         self, engine: Upstream, service: ServiceProfile, memory: MemoryForecast
@@ -118,7 +107,7 @@
         if lease.asked:
             self._mesh.send_to(lease.asked, SlotRelease(lease.number))
         else:
-            self._grants.release(GrantId(self._mesh.address, lease.number))
+            self._grants.release(PeerRequestId(self._mesh.address, lease.number))
 
     def on_slot_ask(self, link: Link, request: SlotGrantRequest) -> None:
         """Replies to a peer's slot request, or passes it on to the owner."""
@@ -128,22 +117,21 @@
         owner = self._owners.owner(request.upstream)
         if self._owners.may_pass_on(relay, owner):
             number = next(self._numbers)
-            passed = request._replace(correlation_id=number)
-            if self._mesh.send_to(owner, passed):
-                grant = GrantId(relay, request.correlation_id)
-                self._passed_by_number[number] = _Passed(link, grant, owner)
-                self._number_by_grant[grant] = number
+            if self._mesh.send_to(owner, request._replace(correlation_id=number)):
+                grant = PeerRequestId(relay, request.correlation_id)
+                self._passed.add(PassedRequest(number, grant, owner))
                 return
         granted = self._grant_to_peer(relay, request)
         link.send(0, SlotGrantReply(request.correlation_id, granted))
 
     def on_slot_answer(self, reply: SlotGrantReply) -> None:
         """Completes the pending slot request that an owner has replied to."""
-        passed = self._passed_by_number.get(reply.correlation_id)
+        passed = self._passed.by_number(reply.correlation_id)
         if passed is not None:
-            passed.link.send(0, SlotGrantReply(passed.grant.number, reply.granted))
+            relay, number = passed.request
+            self._mesh.send_to(relay, SlotGrantReply(number, reply.granted))
             if not reply.granted:
-                self._forget_passed(passed.grant)
+                self._passed.take(passed.request)
             return
         pending = self._pending.get(reply.correlation_id)
         if pending is not None and not pending.done():
@@ -154,28 +142,20 @@
         relay = self._mesh.address_of(link)
         if relay is None:
             return
-        grant = GrantId(relay, release.correlation_id)
+        grant = PeerRequestId(relay, release.correlation_id)
         self._grants.release(grant)
-        self._release_passed(grant)
+        self._release_at_owner(self._passed.take(grant))
 
     def on_relay_lost(self, relay: str) -> None:
         """Releases the slots of a relay whose process has ended."""
         self._grants.release_relay(relay)
-        for grant in [item for item in self._number_by_grant if item.relay == relay]:
-            self._release_passed(grant)
+        for passed in self._passed.take_from(relay):
+            self._release_at_owner(passed)
 
-    def _release_passed(self, grant: GrantId) -> None:
+    def _release_at_owner(self, passed: PassedRequest | None) -> None:
         """Tells the owner that a slot is released whose request was passed on to it."""
-        number = self._number_by_grant.get(grant)
-        if number is not None:
-            owner = self._passed_by_number[number].owner
-            self._mesh.send_to(owner, SlotRelease(number))
-            self._forget_passed(grant)
-
-    def _forget_passed(self, grant: GrantId) -> None:
-        number = self._number_by_grant.pop(grant, None)
-        if number is not None:
-            del self._passed_by_number[number]
+        if passed is not None:
+            self._mesh.send_to(passed.owner, SlotRelease(passed.number))
 
     def _grant_to_peer(self, relay: str, request: SlotGrantRequest) -> bool:
         engine = self._selector.by_id(UpstreamId(request.upstream))
@@ -193,7 +173,7 @@
         return self._grants.try_grant(
             self._selector.engine_capacity(engine, service),
             service.engine.slots,
-            GrantId(relay, request.correlation_id),
+            PeerRequestId(relay, request.correlation_id),
             memory,
             loop_time(),
         )
@@ -212,7 +192,7 @@
             free_slots=capacity.free_slots + 1,
             used=tuple(used - own for used, own in zip(capacity.used, memory)),
         )
-        grant = GrantId(self._mesh.address, number)
+        grant = PeerRequestId(self._mesh.address, number)
         granted = self._grants.try_grant(
             without_stream, service.engine.slots, grant, memory, loop_time()
         )
--- a/wasabimux/relay/phases.py
+++ b/wasabimux/relay/phases.py
@@ -10,7 +10,6 @@
     PhaseChange,
     next_phase_change,
 )
-from wasabimux.decisions.placement import rendezvous_top
 from wasabimux.decisions.stream_estimates import StreamEstimates
 from wasabimux.ports import UpstreamLost
 from wasabimux.relay.leader_lease import LeaderLease
@@ -84,23 +83,13 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             desired = self._view.desired_state
-            if desired is None or not self._is_preferred_holder(loop_time()):
+            if desired is None or not self._mesh.is_first_to_act("phases", loop_time()):
                 self._agreeing_checks.clear()
                 continue
             for service in desired.service_by_name.values():
                 if service.engine is not None:
                     await self._check(service)
 
-    def _is_preferred_holder(self, now: float) -> bool:
-        """Returns True if this relay is the preferred holder of the lease.
-
-        It is one of the aggregators, which agree on it while they hear one another.
-        Those that cannot reach the store are excluded, as they could neither acquire
-        nor renew the lease.
-        """
-        candidates = self._mesh.live_aggregators(now, store_reachable=True)
-        return rendezvous_top(b"phases", candidates, 1) == [self._mesh.address]
-
     async def _check(self, service: ServiceProfile) -> None:
         now = loop_time()
         if now < self._cooldown_until_s.get(service.name, 0.0):
--- a/wasabimux/relay/plain.py
+++ b/wasabimux/relay/plain.py
@@ -9,7 +9,11 @@
 from wasabimux.adapters.http_server import HttpResponse
 from wasabimux.adapters.memory_ledger import HeldBytes, process_ledger
 from wasabimux.adapters.relay_metrics import RelayMetrics
-from wasabimux.decisions.answers import AnswerVerdict, ResponseMetadata
+from wasabimux.decisions.answers import (
+    STATUS_SERVER_ERROR,
+    AnswerVerdict,
+    ResponseMetadata,
+)
 from wasabimux.decisions.log_sampling import LogSampler
 from wasabimux.decisions.retry_window import ServiceRetryBudgets
 from wasabimux.errors import NOT_RUN_STATUSES, ErrorCode, Ran, RefusedError
@@ -25,8 +29,6 @@
 from wasabimux.relay.rollouts import Rollouts
 from wasabimux.relay.upstreams import Upstream
 
-STATUS_SERVER_ERROR = 500
-
 #: A call is hedged once it takes this many times the mean latency of the fastest
 #: upstream.
 HEDGE_LATENCY_FACTOR = 5.0
--- a/wasabimux/relay/rollouts.py
+++ b/wasabimux/relay/rollouts.py
@@ -15,12 +15,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from wasabimux.decisions.answers import STATUS_SERVER_ERROR
 from wasabimux.decisions.exposure import (
     ExposureBudget,
     ExposureLimits,
     tried_upstreams,
 )
-from wasabimux.decisions.placement import rendezvous_top
 from wasabimux.decisions.rollout import (
     Judgement,
     Progress,
@@ -52,9 +52,6 @@
 #: is it known that no more begin at an old one.
 MOVE_NOTICE_S = 2.0
 
-#: Statuses from which a response is a failure of the upstream.
-STATUS_SERVER_ERROR = 500
-
 
 @dataclass
 class _Rollout:
@@ -239,7 +236,7 @@
             if rollout is None or rollout.step.is_final or known.is_withdrawn:
                 continue
             verdict = self._judge(rollout, now)
-            if self._is_writer(service, now):
+            if self._mesh.is_first_to_act(f"rollouts {service}", now):
                 await self._write_step(rollout, known, verdict, now)
 
     def _judge(self, rollout: _Rollout, now: float) -> Verdict:
@@ -314,12 +311,6 @@
         counts = self._mesh.relay_counts()
         return counts.known == 1 or counts.silent < counts.known - 1
 
-    def _is_writer(self, service: str, now: float) -> bool:
-        """Returns whether this relay writes the steps of a service's roll-out."""
-        candidates = self._mesh.live_aggregators(now, store_reachable=True)
-        key = b"rollouts " + service.encode()
-        return rendezvous_top(key, candidates, 1) == [self._mesh.address]
-
     def _by_version(
         self, rollout: _Rollout, phase: Phase | None
     ) -> tuple[list[UpstreamId], list[UpstreamId]]:
