Tell answers that did not reach their caller apart from those that did

The hypotheses of the lost answer differ in lines that no log had. An answer that ends incomplete names its request and why (client gone, unread, memory, end of the process, error), plain calls as well as streams. A connection that is closed while this process holds a part of the answer, or with data of its client unread, says so by request. A request that the end of the process cuts is no longer logged as left by its caller. No decision changes.

--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -11,16 +11,20 @@
 from collections.abc import AsyncGenerator, Awaitable, Callable
 from contextlib import aclosing, nullcontext
 from dataclasses import dataclass, field
+from enum import Enum
+from functools import partial
 from typing import Any, NamedTuple
 from urllib.parse import parse_qsl, urlsplit
 
 import h11
 
 from wasabimux._clock import loop_time
+from wasabimux.adapters.delivery import undelivered_bytes
 from wasabimux.adapters.http_client import has_unread_data, is_readable
 from wasabimux.adapters.http_receiver import READ_BYTES, HttpReceiver
 from wasabimux.adapters.memory_ledger import HeldBytes, process_ledger
 from wasabimux.adapters.turns import Turn
+from wasabimux.decisions.log_sampling import LogSampler
 from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError, refused
 from wasabimux.ports import Headers
 
@@ -50,6 +54,9 @@
 #: Retry-After in s of a request for whose body there is no memory.
 NO_MEMORY_RETRY_S = 1.0
 
+#: Most log lines a second on responses that did not reach their clients.
+MAX_LOG_LINES_PER_S = 10.0
+
 #: Value of SO_LINGER with which a close resets the connection.
 LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -109,6 +116,22 @@
         return None
 
 
+class ResponseEnd(Enum):
+    """How a response has ended."""
+
+    COMPLETE = "complete"
+    #: The client has closed its side of the connection, or reset it.
+    CLIENT_GONE = "client_gone"
+    #: The client has not read it for WRITE_TIMEOUT_S.
+    UNREAD = "unread"
+    #: Others needed the memory that it held.
+    NO_MEMORY = "no_memory"
+    #: The server was closed.
+    STOPPED = "stopped"
+    #: Its body ended with an error.
+    FAILED = "failed"
+
+
 @dataclass(slots=True)
 class HttpResponse:
     """HTTP response with a complete or streamed body.
@@ -119,7 +142,8 @@
         body: Complete body, or a generator of chunks.
         length: Length of a streamed body in bytes, None if unknown.
         held: What the process holds of the body, freed once it is written.
-        on_done: Called when the response has ended, with True if it was complete.
+        on_done: Called when the response has ended, with how it has.
+        request_id: Identity of its request in logs.
     """
 
     status: int
@@ -127,7 +151,8 @@
     body: bytes | AsyncGenerator[bytes, None] = b""
     length: int | None = None
     held: HeldBytes | None = None
-    on_done: Callable[[bool], None] | None = None
+    on_done: Callable[[ResponseEnd], None] | None = None
+    request_id: str = ""
 
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -155,6 +180,12 @@
         handler: Returns the response to each request.
         limits: Limits on requests of clients.
         tls: TLS context, or None for plain HTTP.
+
+    Attributes:
+        limits: Limits on requests of clients, which may change.
+        draining: True once each connection is closed after its next response.
+        closed: True once all connections were aborted.
+        sampler: Bounds the log lines of its connections.
     """
 
     def __init__(
@@ -169,6 +200,8 @@
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
         self.draining = False
+        self.closed = False
+        self.sampler = LogSampler(MAX_LOG_LINES_PER_S)
 
     async def __aenter__(self) -> HttpServer:
         return self
@@ -217,10 +250,11 @@
 
     def close(self) -> None:
         """Stops listening and aborts all connections."""
+        self.closed = True
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
-            connection.abort()
+            connection.abort(ResponseEnd.STOPPED)
 
     def _close_surplus(self) -> None:
         """Closes connections that wait longest for a request, if there are too many."""
@@ -247,6 +281,7 @@
             pass  # the response was aborted; its handler has recorded this
         finally:
             self._connections.discard(connection)
+            connection.log_undelivered()
             connection.drop_data()
             writer.close()
 
@@ -270,6 +305,8 @@
         self._receiver = HttpReceiver(self._http, reader, Turn(peer))
         self._write_turn = Turn(peer)
         self._busy = False
+        self._aborted: ResponseEnd | None = None
+        self._last_request_id = ""
         self.waits_since_s = loop_time()
         self._held = HeldBytes(process_ledger())
         self._expects_continue = False
@@ -312,12 +349,34 @@
         """Drops what was received and not read, which an error may keep for long."""
         self._reader._buffer.clear()  # type: ignore[attr-defined]
 
-    def abort(self) -> None:
+    def log_undelivered(self) -> None:
+        """Logs a close with which the last response may not reach its client."""
+        unsent = self._writer.transport.get_write_buffer_size()
+        unread = has_unread_data(self._writer)
+        if not self._last_request_id or not (unsent or unread):
+            return
+        left_out = self._server.sampler.admit(loop_time())
+        if left_out is not None:
+            logger.warning(
+                "event=answer_undelivered request_id=%s bytes=%d unsent=%d unread=%s"
+                " left_out=%d",
+                self._last_request_id,
+                undelivered_bytes(self._writer),
+                unsent,
+                unread,
+                left_out,
+            )
+
+    def abort(self, end: ResponseEnd = ResponseEnd.FAILED) -> None:
         """Aborts the connection immediately.
 
         To a client of HTTP/1.0, whose response may end with the connection, only a
         reset shows that the response is incomplete.
+
+        Args:
+            end: How this ends a response that is being written.
         """
+        self._aborted = self._aborted or end
         if self._http.their_http_version == HTTP_1_0:
             _reset_on_close(self._writer)
         self._writer.transport.abort()
@@ -470,15 +529,22 @@
             await self._write_and_tell(response)
 
     async def _write_and_tell(self, response: HttpResponse) -> None:
-        """Writes a response, and tells whether it was complete."""
-        complete = False
+        """Writes a response, and tells how it has ended."""
+        end = ResponseEnd.FAILED
+        self._last_request_id = response.request_id
         try:
             body_is_unread = not self._body_read.is_set()
             await self._write_response(response, close=body_is_unread)
-            complete = True
+            end = ResponseEnd.COMPLETE
+        except TimeoutError:
+            end = ResponseEnd.UNREAD
+            raise
+        except (OSError, asyncio.CancelledError):
+            end = self._aborted or ResponseEnd.CLIENT_GONE
+            raise
         finally:
             if response.on_done is not None:
-                response.on_done(complete)
+                response.on_done(end)
 
     async def _write_response(self, response: HttpResponse, close: bool) -> None:
         headers = list(response.headers)
@@ -512,7 +578,7 @@
             self._write(data)
             return
         if response.held is not None:
-            response.held.end_wait = self.abort
+            response.held.end_wait = partial(self.abort, ResponseEnd.NO_MEMORY)
         response.body = b""
         with memoryview(data) as view:
             data = b""  # the frames of an error would keep it for long
--- a/wasabimux/entry/active.py
+++ b/wasabimux/entry/active.py
@@ -68,7 +68,7 @@
         except BaseException:
             self._finish(context)
             raise
-        response.on_done = lambda complete: self._finish(context)
+        response.on_done = lambda end: self._finish(context)
         return response
 
     def _finish(self, context: RequestContext) -> None:
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -101,16 +101,11 @@
         headers = self._header_codec.response_headers(stream.response.headers)
         active = ActiveStream(stream, self._slot_scheduler)
 
-        def on_done(complete: bool) -> None:
-            if not complete:
-                self._recorder.record(request, "answer_incomplete")
-            active.close_stream()
-
         return HttpResponse(
             stream.response.status,
             headers,
             self._response_body(request, active, progress),
-            on_done=on_done,
+            on_done=lambda end: active.close_stream(),
         )
 
     async def _find_version(self, request: RelayRequest) -> None:
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -13,6 +13,7 @@
     HttpRequest,
     HttpResponse,
     HttpServer,
+    ResponseEnd,
     refusal_response,
 )
 from wasabimux.adapters.memory_ledger import process_ledger
@@ -392,13 +393,12 @@
             self._count_refusal(kind, error.refusal, request.arrived_s)
             raise
         except asyncio.CancelledError:
-            age_ms = round((loop_time() - request.arrived_s) * 1000)
-            self._records.record(admitted, "caller_left", age_ms=age_ms)
+            self._record_cancelled(admitted)
             raise
         finally:
             self._active.discard(admitted)
             self._admission.settle(admitted, loop_time())
-        return self._count_when_done(response, kind, request.arrived_s)
+        return self._count_when_done(response, admitted)
 
     def begin_shutdown(self, ends_s: float) -> None:
         """Lets all answers be complete by a time in s, as the process ends then."""
@@ -448,20 +448,33 @@
             late.request_id = metadata.id
             raise late from None
 
+    def _record_cancelled(self, request: RelayRequest) -> None:
+        """Records a request whose caller left, or that the end of the process cut."""
+        age_ms = round((loop_time() - request.arrived_s) * 1000)
+        if self.http_server is not None and self.http_server.closed:
+            self._records.record(request, "cut_by_stop", age_ms=age_ms)
+        else:
+            self._records.record(request, "caller_left", age_ms=age_ms)
+
     def _count_when_done(
-        self, response: HttpResponse, kind: str, arrived_s: float
+        self, response: HttpResponse, request: RelayRequest
     ) -> HttpResponse:
         """Returns the response, which is counted once it has ended."""
         on_done = response.on_done
+        kind = request.route.request_kind.value
 
-        def count(complete: bool) -> None:
+        def count(end: ResponseEnd) -> None:
             if on_done is not None:
-                on_done(complete)
-            outcome = "answered" if complete else "cut"
+                on_done(end)
+            if end is not ResponseEnd.COMPLETE:
+                self._records.record(request, "answer_incomplete", why=end.value)
+            outcome = "answered" if end is ResponseEnd.COMPLETE else "cut"
             reason = f"status_{response.status // 100}xx"
-            self._metrics.on_request(kind, outcome, reason, loop_time() - arrived_s)
+            duration_s = loop_time() - request.arrived_s
+            self._metrics.on_request(kind, outcome, reason, duration_s)
 
         response.on_done = count
+        response.request_id = request.metadata.id
         return response
 
     def _count_refusal(self, kind: str, refusal: Refusal, arrived_s: float) -> None:
--- a/wasabimux/standins/virtual_fleet.py
+++ b/wasabimux/standins/virtual_fleet.py
@@ -16,7 +16,7 @@
 
 import looptime
 
-from wasabimux.adapters.http_server import HttpRequest, HttpResponse
+from wasabimux.adapters.http_server import HttpRequest, HttpResponse, ResponseEnd
 from wasabimux.agent.admission import AdmissionController
 from wasabimux.agent.agent import Agent, EngineDriver, ServiceDriver
 from wasabimux.entry.entry import Entry, PlacementPolicies
@@ -358,7 +358,10 @@
             pass  # a real server would close the connection
         finally:
             if response.on_done is not None:
-                response.on_done(received.complete)
+                complete = received.complete
+                response.on_done(
+                    ResponseEnd.COMPLETE if complete else ResponseEnd.CLIENT_GONE
+                )
         return received
 
     def _add_upstream(self, upstream_id: str) -> None:
