End a connection only once its client has all that was written

What callers saw: no whole answer around a planned stop. Cause: a response counted as complete once the transport held under its low-water mark, and its connection left the set that a drain waits for; the process ended with what it and its system still held. A close with data of the client unread lost it too, as it resets the connection. Class: taken for sent while it is held. Now the sending side is closed first, what the client sends meanwhile is dropped, and the connection ends, and counts as ended for a drain, once the system says that the client has acknowledged all. Idle connections end the same way.

--- a/wasabimux/adapters/delivery.py
+++ b/wasabimux/adapters/delivery.py
@@ -1,13 +1,31 @@
-"""Tells how much of what was written on a connection has not reached its peer."""
+"""Ends connections only once what was written on them has reached their peers.
+
+What is written is held by this process, then by its system, until the peer has
+acknowledged it. The end of the process or of its machine loses what they hold, and a
+close loses it too if data of the peer is unread, as the system then resets the
+connection. So the sending side is closed first, and the rest once all has arrived
+(RFC 9112, 9.6).
+"""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import fcntl
 import socket
 import struct
 import termios
 
+from wasabimux._clock import loop_time
+
+#: Interval in s between checks of what a peer has acknowledged; it doubles up to the
+#: longest one.
+MIN_CHECK_INTERVAL_S = 0.005
+MAX_CHECK_INTERVAL_S = 0.1
+
+#: Bytes of the peer that are read at once, to be dropped.
+DROPPED_BYTES = 64 * 1024
+
 
 def undelivered_bytes(writer: asyncio.StreamWriter) -> int:
     """Returns the bytes that this process or its system holds for a connection.
@@ -18,6 +36,57 @@
     return writer.transport.get_write_buffer_size() + _unacknowledged_bytes(writer)
 
 
+async def deliver(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, stall_timeout_s: float
+) -> bool:
+    """Closes the sending side of a connection, and waits until all has arrived.
+
+    What the peer sends meanwhile is dropped. The caller closes the connection.
+
+    Args:
+        reader: Reader of the connection, which nobody else reads.
+        writer: Writer of the connection.
+        stall_timeout_s: Longest time in s in which nothing arrives.
+
+    Returns:
+        False if the time was over; True if all has arrived or the connection was lost.
+    """
+    dropping = asyncio.ensure_future(_drop_received(reader))
+    try:
+        if writer.can_write_eof():
+            writer.write_eof()
+        return await _wait_until_delivered(writer, stall_timeout_s)
+    except OSError:
+        return True
+    finally:
+        dropping.cancel()
+        await asyncio.wait({dropping})
+
+
+async def _wait_until_delivered(
+    writer: asyncio.StreamWriter, stall_timeout_s: float
+) -> bool:
+    outstanding = undelivered_bytes(writer)
+    changed_s, interval_s = loop_time(), MIN_CHECK_INTERVAL_S
+    while outstanding:
+        await asyncio.sleep(interval_s)
+        interval_s = min(2 * interval_s, MAX_CHECK_INTERVAL_S)
+        before, outstanding = outstanding, undelivered_bytes(writer)
+        now = loop_time()
+        if outstanding < before:
+            changed_s = now
+        elif now - changed_s >= stall_timeout_s:
+            return False
+    return True
+
+
+async def _drop_received(reader: asyncio.StreamReader) -> None:
+    """Reads and drops what a peer sends, until it closes its sending side."""
+    with contextlib.suppress(OSError):
+        while await reader.read(DROPPED_BYTES):
+            pass
+
+
 def _unacknowledged_bytes(writer: asyncio.StreamWriter) -> int:
     connection: socket.socket | None = writer.get_extra_info("socket")
     if connection is None or connection.fileno() < 0:
--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -19,7 +19,7 @@
 import h11
 
 from wasabimux._clock import loop_time
-from wasabimux.adapters.delivery import undelivered_bytes
+from wasabimux.adapters.delivery import deliver, undelivered_bytes
 from wasabimux.adapters.http_client import has_unread_data, is_readable
 from wasabimux.adapters.http_receiver import READ_BYTES, HttpReceiver
 from wasabimux.adapters.memory_ledger import HeldBytes, process_ledger
@@ -275,13 +275,13 @@
         self._connections.add(connection)
         try:
             await connection.serve()
+            await connection.deliver()
         except (OSError, TimeoutError, asyncio.CancelledError):
             pass  # the client disconnected, or the process is stopping
         except RefusedError:
             pass  # the response was aborted; its handler has recorded this
         finally:
             self._connections.discard(connection)
-            connection.log_undelivered()
             connection.drop_data()
             writer.close()
 
@@ -306,7 +306,8 @@
         self._write_turn = Turn(peer)
         self._busy = False
         self._aborted: ResponseEnd | None = None
-        self._last_request_id = ""
+        self._written_request_id = ""
+        self._idle_wait: asyncio.Timeout | None = None
         self.waits_since_s = loop_time()
         self._held = HeldBytes(process_ledger())
         self._expects_continue = False
@@ -320,6 +321,7 @@
             if request is None:
                 return
             self._busy = True
+            self._written_request_id = ""
             with self._held:
                 await self._respond(request)
             self._busy = False
@@ -333,9 +335,19 @@
         return self._busy
 
     def close_if_idle(self) -> None:
-        """Closes the connection unless a request runs on it or has begun to arrive."""
-        if not self._busy and not self._has_request_begun():
-            self._writer.close()
+        """Closes the connection if it waits for a request and none has begun."""
+        if self._idle_wait is not None and not self._has_request_begun():
+            self._idle_wait.reschedule(loop_time())
+
+    async def deliver(self) -> None:
+        """Waits until all that was written has reached the client."""
+        writer = self._writer
+        if writer.is_closing():
+            return
+        if self._reader.at_eof() and not undelivered_bytes(writer):
+            return
+        if not await deliver(self._reader, writer, WRITE_TIMEOUT_S):
+            self.abort(ResponseEnd.UNREAD)
 
     def _has_request_begun(self) -> bool:
         """Returns whether data waits to be read, in this process or in the socket."""
@@ -349,24 +361,6 @@
         """Drops what was received and not read, which an error may keep for long."""
         self._reader._buffer.clear()  # type: ignore[attr-defined]
 
-    def log_undelivered(self) -> None:
-        """Logs a close with which the last response may not reach its client."""
-        unsent = self._writer.transport.get_write_buffer_size()
-        unread = has_unread_data(self._writer)
-        if not self._last_request_id or not (unsent or unread):
-            return
-        left_out = self._server.sampler.admit(loop_time())
-        if left_out is not None:
-            logger.warning(
-                "event=answer_undelivered request_id=%s bytes=%d unsent=%d unread=%s"
-                " left_out=%d",
-                self._last_request_id,
-                undelivered_bytes(self._writer),
-                unsent,
-                unread,
-                left_out,
-            )
-
     def abort(self, end: ResponseEnd = ResponseEnd.FAILED) -> None:
         """Aborts the connection immediately.
 
@@ -377,10 +371,24 @@
             end: How this ends a response that is being written.
         """
         self._aborted = self._aborted or end
+        if self._written_request_id:
+            self._log_undelivered()
         if self._http.their_http_version == HTTP_1_0:
             _reset_on_close(self._writer)
         self._writer.transport.abort()
 
+    def _log_undelivered(self) -> None:
+        """Logs how much of a response that was written does not reach its client."""
+        undelivered = undelivered_bytes(self._writer)
+        left_out = self._server.sampler.admit(loop_time()) if undelivered else None
+        if left_out is not None:
+            logger.warning(
+                "event=answer_undelivered request_id=%s bytes=%d left_out=%d",
+                self._written_request_id,
+                undelivered,
+                left_out,
+            )
+
     def _prepare_next_request(self) -> bool:
         """Prepares for the next request; returns False if the connection must end.
 
@@ -398,6 +406,7 @@
         try:
             event = await self._read_head_event()
         except TimeoutError:
+            self._idle_wait = None
             if self._http.trailing_data[0]:
                 await self._reject_head("timeout while reading the request head", 408)
             return None
@@ -429,8 +438,9 @@
         event = self._receiver.event_at_hand()
         if event is h11.NEED_DATA:
             if not self._http.trailing_data[0]:
-                async with asyncio.timeout(limits.idle_timeout_s):
+                async with asyncio.timeout(limits.idle_timeout_s) as self._idle_wait:
                     data = await self._reader.read(READ_BYTES)
+                self._idle_wait = None
                 self._http.receive_data(data)
             async with asyncio.timeout(limits.header_timeout_s):
                 event = await self._receiver.next_event()
@@ -531,11 +541,11 @@
     async def _write_and_tell(self, response: HttpResponse) -> None:
         """Writes a response, and tells how it has ended."""
         end = ResponseEnd.FAILED
-        self._last_request_id = response.request_id
         try:
             body_is_unread = not self._body_read.is_set()
             await self._write_response(response, close=body_is_unread)
             end = ResponseEnd.COMPLETE
+            self._written_request_id = response.request_id
         except TimeoutError:
             end = ResponseEnd.UNREAD
             raise
