Serve a request that arrives with the idle timeout of its connection

A request read in the cycle of the event loop in which the idle timeout fell due was dropped with its connection. Class: a wait that ends is taken for nothing having come. What has begun to arrive is looked for after the timeout, as a drain does before it closes an idle connection.

--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -406,7 +406,6 @@
         try:
             event = await self._read_head_event()
         except TimeoutError:
-            self._idle_wait = None
             if self._http.trailing_data[0]:
                 await self._reject_head("timeout while reading the request head", 408)
             return None
@@ -438,14 +437,28 @@
         event = self._receiver.event_at_hand()
         if event is h11.NEED_DATA:
             if not self._http.trailing_data[0]:
-                async with asyncio.timeout(limits.idle_timeout_s) as self._idle_wait:
-                    data = await self._reader.read(READ_BYTES)
-                self._idle_wait = None
-                self._http.receive_data(data)
+                self._http.receive_data(await self._await_request())
             async with asyncio.timeout(limits.header_timeout_s):
                 event = await self._receiver.next_event()
         return event
 
+    async def _await_request(self) -> bytes:
+        """Returns the first bytes of the next request, empty at the end of data.
+
+        Raises:
+            TimeoutError: None came within the idle timeout, or the server drains.
+        """
+        idle_timeout_s = self._server.limits.idle_timeout_s
+        try:
+            async with asyncio.timeout(idle_timeout_s) as self._idle_wait:
+                return await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            if not self._has_request_begun():
+                raise
+            return await self._reader.read(READ_BYTES)  # it came with the timeout
+        finally:
+            self._idle_wait = None
+
     async def _read_body(self) -> bytes:
         if self._body_read.is_set():
             return b""  # no body, or already read
