At the bound on connections, end idle ones before those with a request

The connection that had waited longest was ended, also when a request had begun to arrive on it or its client had not read the last answer. Same class as the idle timeout: taken for idle. Idle connections whose client has all go first. The test failed before (the request's connection ended unanswered) and passes now.

--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -14,6 +14,7 @@
     HttpResponse,
     HttpServer,
 )
+from wasabimux.adapters.memory_ledger import LedgerLimits, process_ledger
 
 IDLE_TIMEOUT_S = 0.2
 
@@ -60,3 +61,19 @@
         await asyncio.sleep(0.05)
         connection.send(REQUEST[head_bytes:])
         assert await read_status(connection) == b"HTTP/1.1 200"
+
+
+async def test_request_that_has_begun_is_ended_for_no_connection_that_is_idle() -> None:
+    """Regression: at the bound on connections, half a request was ended first."""
+    async with HttpServer(respond) as server:
+        _, port = await server.listen("127.0.0.1", 0)
+        process_ledger().limits = LedgerLimits(connections=2)
+        begun = await connect(port)
+        begun.send(REQUEST[:5])
+        idle = await connect(port)
+        late = await connect(port)
+        begun.send(REQUEST[5:])
+        late.send(REQUEST)
+        assert await read_status(begun) == b"HTTP/1.1 200"
+        assert await read_status(late) == b"HTTP/1.1 200"
+        assert await read_status(idle) == b""
--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -257,15 +257,25 @@
             connection.abort(ResponseEnd.STOPPED)
 
     def _close_surplus(self) -> None:
-        """Closes connections that wait longest for a request, if there are too many."""
+        """Ends connections without a request that runs, if there are too many."""
         most = process_ledger().limits.connections
         while most is not None and len(self._connections) >= most:
-            waiting = [item for item in self._connections if not item.busy]
-            if not waiting:
+            surplus = self._find_surplus()
+            if surplus is None:
                 return
-            longest = min(waiting, key=lambda item: item.waits_since_s)
-            self._connections.discard(longest)
-            longest.abort()
+            self._connections.discard(surplus)
+            surplus.abort()
+
+    def _find_surplus(self) -> _Connection | None:
+        """Returns the connection that is spared most easily, None if all are busy.
+
+        Idle ones come first, then those that have a part of a head, then those whose
+        clients have not read all.
+        """
+        spare = [item for item in self._connections if not item.busy]
+        spare.sort(key=lambda item: (item.delivering, item.waits_since_s))
+        idle = (item for item in spare if item.is_idle())
+        return next(idle, spare[0] if spare else None)
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -287,7 +297,12 @@
 
 
 class _Connection:
-    """Connection from a client."""
+    """Connection from a client.
+
+    Attributes:
+        delivering: True once it only waits for its client to have all.
+        waits_since_s: Loop time in s since which no request runs on it.
+    """
 
     def __init__(
         self,
@@ -308,6 +323,7 @@
         self._aborted: ResponseEnd | None = None
         self._written_request_id = ""
         self._idle_wait: asyncio.Timeout | None = None
+        self.delivering = False
         self.waits_since_s = loop_time()
         self._held = HeldBytes(process_ledger())
         self._expects_continue = False
@@ -334,6 +350,14 @@
         """True while a request runs on the connection."""
         return self._busy
 
+    def is_idle(self) -> bool:
+        """Returns whether it waits for a request, none has begun, and all is read."""
+        return (
+            self._idle_wait is not None
+            and not undelivered_bytes(self._writer)
+            and not self._has_request_begun()
+        )
+
     def close_if_idle(self) -> None:
         """Closes the connection if it waits for a request and none has begun."""
         if self._idle_wait is not None and not self._has_request_begun():
@@ -346,6 +370,7 @@
             return
         if self._reader.at_eof() and not undelivered_bytes(writer):
             return
+        self.delivering = True
         if not await deliver(self._reader, writer, WRITE_TIMEOUT_S):
             self.abort(ResponseEnd.UNREAD)
 
