Close no connection in a stop whose client was not told of it

What callers saw: a request on a kept connection was dropped unanswered if the answer before it had begun before the stop, and requests sent ahead were dropped by the first answer that said close. Cause: the end of an answer was taken for the end of what the client sends. An answer says close only if no further request is at hand; a connection that was not told stays until the drain finds it idle, with all that was written read.

--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -43,6 +43,9 @@
 #: closes.
 MAX_ACCEPT_ROUNDS = 64
 
+#: Interval in s at which a drain looks for connections that have become idle.
+DRAIN_CHECK_INTERVAL_S = 0.02
+
 #: Cycles of the event loop after which an accepted connection is being served.
 CONNECTION_START_CYCLES = 4
 
@@ -223,7 +226,10 @@
         return bound_address[0], bound_address[1]
 
     def begin_drain(self) -> None:
-        """Closes each connection after its next response; still accepts new ones."""
+        """Closes each connection after its next response; still accepts new ones.
+
+        Requests that were sent ahead are answered first.
+        """
         self.draining = True
 
     async def drain(self, timeout_s: float) -> bool:
@@ -239,13 +245,13 @@
         if self._server is not None:
             await _accept_waiting(self._server)
             self._server.close()
-        for connection in list(self._connections):
-            connection.close_if_idle()
-        deadline = asyncio.get_running_loop().time() + timeout_s
+        deadline_s = loop_time() + timeout_s
         while self._connections:
-            if asyncio.get_running_loop().time() > deadline:
+            if loop_time() > deadline_s:
                 return False
-            await asyncio.sleep(0.02)
+            for connection in self._connections:
+                connection.close_if_idle()
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
         return True
 
     def close(self) -> None:
@@ -359,9 +365,10 @@
         )
 
     def close_if_idle(self) -> None:
-        """Closes the connection if it waits for a request and none has begun."""
-        if self._idle_wait is not None and not self._has_request_begun():
-            self._idle_wait.reschedule(loop_time())
+        """Closes the connection if it waits for a request and all was read."""
+        idle_wait = self._idle_wait
+        if idle_wait is not None and not idle_wait.expired() and self.is_idle():
+            idle_wait.reschedule(loop_time())
 
     async def deliver(self) -> None:
         """Waits until all that was written has reached the client."""
@@ -417,14 +424,14 @@
     def _prepare_next_request(self) -> bool:
         """Prepares for the next request; returns False if the connection must end.
 
-        In a drain, a client that was not told of the end may have sent a request.
+        In a drain, a client that was not told of the end may send another one.
         """
         if self._http.our_state is not h11.DONE:
             return False
         if self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
-        return not self._server.draining or self._has_request_begun()
+        return True
 
     async def _read_head(self) -> HttpRequest | None:
         """Returns the next request after reading its head, or None if there is none."""
@@ -600,7 +607,7 @@
             headers.append((b"content-length", str(len(response.body)).encode()))
         elif response.length is not None:
             headers.append((b"content-length", str(response.length).encode()))
-        if close or self._server.draining:
+        if close or self._server.draining and not self._has_request_begun():
             headers.append((b"connection", b"close"))
         head = h11.Response(status_code=response.status, headers=headers)
         self._write(self._http.send(head))
