Read nothing more from a client that has all that was written

What the client of an idle connection sends as a drain closes it was read and dropped until its end was acknowledged, so that a caller of a call that runs once could not tell that it was not read. No test of its own: the time between the two closes is too short on a loopback connection.

--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -371,11 +371,13 @@
             idle_wait.reschedule(loop_time())
 
     async def deliver(self) -> None:
-        """Waits until all that was written has reached the client."""
+        """Waits until all that was written has reached the client.
+
+        If it has, nothing more is read: to a client that sends another request as the
+        connection is closed, the reset shows that it was not read.
+        """
         writer = self._writer
-        if writer.is_closing():
-            return
-        if self._reader.at_eof() and not undelivered_bytes(writer):
+        if writer.is_closing() or not undelivered_bytes(writer):
             return
         self.delivering = True
         if not await deliver(self._reader, writer, WRITE_TIMEOUT_S):
