End a link only once its peer has all messages

Seen: an agent that stops loses the reply of a call that ran once, if its link drains slowly: the caller's stream ended with LinkLost and the agent said that it had drained (exit 0).

Cause: Link.flush took a frame for sent once the transport was under its high-water mark, and TcpChannel.close leaves the rest to a timer that does not run once asyncio.run ends. A close with unread data of the peer also resets the connection.

Fix: Channel.flush waits until the peer has acknowledged what was sent (the count of adapters/delivery.py), with later frames left out so that a busy link has an end too. finish_links flushes, then closes the sending side and waits until the peer closes, which it does once it has handled all. Bounds: nothing arrives for PEER_TIMEOUT_S, END_TIMEOUT_S for the peer's close, and the caller's time for all. Under TLS, the bytes that the transport below holds count too.

--- a/wasabimux/adapters/delivery.py
+++ b/wasabimux/adapters/delivery.py
@@ -15,6 +15,7 @@
 import socket
 import struct
 import termios
+from collections.abc import Callable
 
 from wasabimux._clock import loop_time
 
@@ -33,7 +34,10 @@
     The system holds what it has not sent, and what the peer has not acknowledged; an
     end that was sent counts as one byte. A connection that is closed holds nothing.
     """
-    return writer.transport.get_write_buffer_size() + _unacknowledged_bytes(writer)
+    transport = writer.transport
+    held = transport.get_write_buffer_size() + _unacknowledged_bytes(writer)
+    below = _transport_below(transport)
+    return held if below is None else held + below.get_write_buffer_size()
 
 
 async def deliver(
@@ -55,7 +59,9 @@
     try:
         if writer.can_write_eof():
             writer.write_eof()
-        return await _wait_until_delivered(writer, stall_timeout_s)
+        return await wait_until_delivered(
+            lambda: undelivered_bytes(writer), stall_timeout_s
+        )
     except OSError:
         return True
     finally:
@@ -63,15 +69,24 @@
         await asyncio.wait({dropping})
 
 
-async def _wait_until_delivered(
-    writer: asyncio.StreamWriter, stall_timeout_s: float
+async def wait_until_delivered(
+    count_outstanding: Callable[[], int], stall_timeout_s: float
 ) -> bool:
-    outstanding = undelivered_bytes(writer)
+    """Waits until a peer has all that it is to have.
+
+    Args:
+        count_outstanding: Returns the bytes that have not arrived.
+        stall_timeout_s: Longest time in s in which nothing arrives.
+
+    Returns:
+        False if the time was over.
+    """
+    outstanding = count_outstanding()
     changed_s, interval_s = loop_time(), MIN_CHECK_INTERVAL_S
     while outstanding:
         await asyncio.sleep(interval_s)
         interval_s = min(2 * interval_s, MAX_CHECK_INTERVAL_S)
-        before, outstanding = outstanding, undelivered_bytes(writer)
+        before, outstanding = outstanding, count_outstanding()
         now = loop_time()
         if outstanding < before:
             changed_s = now
@@ -87,6 +102,12 @@
             pass
 
 
+def _transport_below(transport: asyncio.WriteTransport) -> asyncio.Transport | None:
+    """Returns the transport that carries one with TLS, None without TLS."""
+    protocol = getattr(transport, "_ssl_protocol", None)
+    return getattr(protocol, "_transport", None)
+
+
 def _unacknowledged_bytes(writer: asyncio.StreamWriter) -> int:
     connection: socket.socket | None = writer.get_extra_info("socket")
     if connection is None or connection.fileno() < 0:
--- a/wasabimux/agent/agent.py
+++ b/wasabimux/agent/agent.py
@@ -13,7 +13,7 @@
 from wasabimux.agent.run_canceller import RunCanceller
 from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError
 from wasabimux.ids import Incarnation, InstanceId, new_incarnation
-from wasabimux.link.link import Link, LinkCallbacks, LinkTraffic
+from wasabimux.link.link import Link, LinkCallbacks, LinkTraffic, finish_links
 from wasabimux.link.messages import (
     EndStream,
     Hello,
@@ -30,6 +30,9 @@
 #: Interval at which the agent asks its engine whether it is cold.
 COLD_POLL_INTERVAL_S = 0.5
 
+#: Shortest time in s that a stop leaves for the last messages to arrive.
+LAST_MESSAGES_S = 1.0
+
 logger = logging.getLogger("wasabimux.agent")
 
 
@@ -203,25 +206,23 @@
         task.add_done_callback(lambda _: self._links.discard(link))
 
     async def drain(self, timeout_s: float) -> bool:
-        """Refuses new requests and waits until all streams and calls have ended.
+        """Refuses new requests, waits until the others have ended, and ends its links.
 
         Args:
-            timeout_s: Longest time to wait, in s.
+            timeout_s: Longest wait in s for streams and calls. Their
+                ends get LAST_MESSAGES_S to arrive, even if it is over.
 
         Returns:
-            True if all streams and calls have ended.
+            True if all streams and calls have ended, and their peers have the ends.
         """
         self.admission.stop_accepting()
         self._report_load()
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + timeout_s
-        while self.unfinished_count:
-            if loop.time() > deadline:
-                return False
+        deadline_s = loop_time() + timeout_s
+        while self.unfinished_count and loop_time() <= deadline_s:
             await asyncio.sleep(0.02)
-        for link in list(self._links):
-            await link.flush()
-        return True
+        have_ended = not self.unfinished_count
+        left_s = max(LAST_MESSAGES_S, deadline_s - loop_time())
+        return await finish_links(list(self._links), left_s) and have_ended
 
     def close(self) -> None:
         """Closes all links, which cancels their streams."""
--- a/wasabimux/link/channels.py
+++ b/wasabimux/link/channels.py
@@ -7,6 +7,7 @@
 import struct
 from collections.abc import Awaitable, Callable
 
+from wasabimux.adapters.delivery import undelivered_bytes, wait_until_delivered
 from wasabimux.adapters.tls import peer_role
 from wasabimux.ports import Channel
 
@@ -36,10 +37,13 @@
     ) -> None:
         self._reader = reader
         self._writer = writer
+        self._sent_bytes = 0
 
     async def send(self, frame: bytes) -> None:
         """Sends a frame; waits while the connection's write buffer is full."""
-        self._writer.write(struct.pack(">I", len(frame)) + frame)
+        data = struct.pack(">I", len(frame)) + frame
+        self._sent_bytes += len(data)
+        self._writer.write(data)
         await self._writer.drain()
 
     async def receive(self) -> bytes | None:
@@ -58,6 +62,32 @@
         connection = self._writer.get_extra_info("ssl_object")
         return connection is None or peer_role(connection) == role
 
+    async def flush(self, stall_timeout_s: float) -> bool:
+        """Waits until the peer has acknowledged all frames sent so far.
+
+        Args:
+            stall_timeout_s: Longest time in s in which nothing arrives.
+
+        Returns:
+            False if that time was over; True also if the connection was lost.
+        """
+        sent_bytes = self._sent_bytes
+
+        def count_outstanding() -> int:
+            later_bytes = self._sent_bytes - sent_bytes
+            return max(0, undelivered_bytes(self._writer) - later_bytes)
+
+        return await wait_until_delivered(count_outstanding, stall_timeout_s)
+
+    def end(self) -> None:
+        """Closes the sending side, or starts the end of TLS; the peer then closes."""
+        if self._writer.is_closing():
+            return
+        if self._writer.can_write_eof():
+            self._writer.write_eof()
+        else:
+            self._writer.close()
+
     def close(self) -> None:
         """Closes the connection; unsent data is sent for up to CLOSE_LINGER_S."""
         transport = self._writer.transport
@@ -107,6 +137,9 @@
 
     Args:
         deliver: Called with this end and each frame sent; may drop or delay the frame.
+
+    Attributes:
+        frames_under_way: Number of frames sent that `deliver` delays now.
     """
 
     def __init__(
@@ -115,6 +148,7 @@
         self.peer: MemoryChannel | None = None
         self.incoming: asyncio.Queue[bytes | None] = asyncio.Queue()
         self.closed = False
+        self.frames_under_way = 0
         self._deliver = deliver
 
     async def send(self, frame: bytes) -> None:
@@ -133,6 +167,16 @@
         """Returns True, as both ends belong to the same process."""
         return True
 
+    async def flush(self, stall_timeout_s: float) -> bool:
+        """Waits until the other end has all frames, as `TcpChannel` does."""
+        return await wait_until_delivered(
+            lambda: 0 if self.closed else self.frames_under_way, stall_timeout_s
+        )
+
+    def end(self) -> None:
+        """Closes both ends; the other one still receives what it has."""
+        self.close()
+
     def close(self) -> None:
         """Closes both ends."""
         for end in (self, self.peer):
--- a/wasabimux/link/link.py
+++ b/wasabimux/link/link.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
+from wasabimux._clock import loop_time
 from wasabimux.link.codec import CodecError, decode_frame, encode_frame
 from wasabimux.link.messages import (
     PROTOCOL_VERSION,
@@ -28,6 +29,9 @@
 #: peer's streams are then released.
 PEER_TIMEOUT_S = 3.0
 
+#: Longest time in s for which a link that has ended waits until the peer closes it.
+END_TIMEOUT_S = 1.0
+
 #: Maximum number of items in one frame; keeps frames smaller than MAX_FRAME_BYTES.
 MAX_ITEMS_PER_FRAME = 64
 
@@ -104,6 +108,7 @@
         self._has_outgoing.set()
         self._last_received_s = 0.0
         self._last_sent_s = 0.0
+        self._has_ended = False
         self._traffic = traffic or LinkTraffic()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -136,7 +141,7 @@
 
     def send(self, stream_id: int, message: Message) -> None:
         """Queues a message; messages of one event loop iteration share a frame."""
-        if self.closed.is_set():
+        if self.closed.is_set() or self._has_ended:
             return
         self._outgoing.append(FrameItem(stream_id, message))
         self._has_outgoing.set()
@@ -164,10 +169,36 @@
             stream.on_link_lost()
         self._streams_by_id.clear()
 
-    async def flush(self) -> None:
-        """Waits until all queued messages are sent to the channel."""
+    async def flush(self) -> bool:
+        """Waits until the peer has all queued messages, or the link is closed.
+
+        Returns:
+            False if nothing has arrived for PEER_TIMEOUT_S.
+        """
         while self._outgoing and not self.closed.is_set():
+            if not await self._channel.flush(PEER_TIMEOUT_S):
+                return False
             await asyncio.sleep(0)
+        return await self._channel.flush(PEER_TIMEOUT_S)
+
+    async def end(self, timeout_s: float) -> None:
+        """Sends nothing more, and waits until the peer has closed the link.
+
+        The peer does so once it has handled all. A connection that is closed earlier
+        fails as the peer sends, and what the peer has not read is lost.
+
+        Args:
+            timeout_s: Time in s after which the link is closed by this side.
+        """
+        self._has_ended = True
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.flush()
+                if not self.closed.is_set():
+                    self._channel.end()
+                await self.closed.wait()
+        except TimeoutError:
+            self.close()
 
     async def _send_frames(self) -> None:
         loop = asyncio.get_running_loop()
@@ -287,6 +318,34 @@
             self._traffic.periodic_bytes += size
 
 
+async def finish_links(links: Sequence[Link], timeout_s: float) -> bool:
+    """Closes links once their peers have all queued messages.
+
+    Args:
+        links: The links.
+        timeout_s: Longest time in s that it takes.
+
+    Returns:
+        False if a peer does not have all, and its link was not lost.
+    """
+    until_s = loop_time() + timeout_s
+    arrived = await asyncio.gather(*(_flush_until(link, until_s) for link in links))
+    left_s = min(END_TIMEOUT_S, until_s - loop_time())
+    ended = [link for link, has_arrived in zip(links, arrived) if has_arrived]
+    await asyncio.gather(*(link.end(left_s) for link in ended))
+    for link in links:
+        link.close()
+    return all(arrived)
+
+
+async def _flush_until(link: Link, until_s: float) -> bool:
+    try:
+        async with asyncio.timeout_at(until_s):
+            return await link.flush()
+    except TimeoutError:
+        return False
+
+
 def _is_encodable(item: FrameItem) -> bool:
     """Returns whether a message of no stream can be encoded; logs one that cannot."""
     if item.stream_id:
--- a/wasabimux/ports.py
+++ b/wasabimux/ports.py
@@ -21,6 +21,19 @@
     async def receive(self) -> bytes | None:
         """Returns the next frame, or None if the connection is lost."""
 
+    async def flush(self, stall_timeout_s: float) -> bool:
+        """Waits until the peer has all frames sent so far, or the connection is lost.
+
+        Args:
+            stall_timeout_s: Longest time in s in which nothing arrives.
+
+        Returns:
+            False if that time was over.
+        """
+
+    def end(self) -> None:
+        """Tells the peer that no frame follows; it closes the connection."""
+
     def close(self) -> None:
         """Closes the connection immediately."""
 
--- a/wasabimux/standins/network.py
+++ b/wasabimux/standins/network.py
@@ -114,14 +114,16 @@
         self._network.frame_count += 1
         assert channel.peer is not None
         self._in_flight.append(frame)
-        loop.call_at(self._last_arrival_s, self._deliver, channel.peer)
+        channel.frames_under_way += 1
+        loop.call_at(self._last_arrival_s, self._deliver, channel, channel.peer)
 
-    def _deliver(self, channel: MemoryChannel) -> None:
+    def _deliver(self, sender: MemoryChannel, receiver: MemoryChannel) -> None:
         """Delivers the oldest frame in flight.
 
         Timers that are due at the same time fire in any order, so a timer is not tied
         to a frame.
         """
         frame = self._in_flight.popleft()
-        if not channel.closed:
-            channel.incoming.put_nowait(frame)
+        sender.frames_under_way -= 1
+        if not receiver.closed:
+            receiver.incoming.put_nowait(frame)
