Settle what a process owes to others before it ends

Seen, at a stop: KV caches and reservations stayed at engines, as calls in the background were cancelled; peers counted the last stream of the relay as running, as its end was in no report; an answer to an operator was cut.

Fix: the drain of a relay waits for the calls, reports once more, finishes the links and drains the other ports, all at once and within the rest of the grace; what does not succeed is logged as not_settled. The embedded fleet uses the same ends, and drains its agents at once.

--- a/wasabimux/entry/entry.py
+++ b/wasabimux/entry/entry.py
@@ -55,7 +55,7 @@
     new_incarnation,
     new_request_id,
 )
-from wasabimux.link.link import Link, LinkTraffic
+from wasabimux.link.link import Link, LinkTraffic, finish_links
 from wasabimux.link.messages import (
     GrantReply,
     GrantRequest,
@@ -86,6 +86,9 @@
 #: Number of peers that an entry links to, besides the shard holders that it needs.
 PEER_LINK_COUNT = 4
 
+#: Share of the time for what is owed at the end that calls to the store may take.
+STORE_SETTLE_SHARE = 0.7
+
 
 class PlacementPolicies(NamedTuple):
     """Policies by which an entry chooses upstreams.
@@ -221,6 +224,21 @@
             asyncio.ensure_future(self._sweep_claims()),
         ]
 
+    async def settle(self, timeout_s: float) -> None:
+        """Settles what this entry owes to other entries, once no request runs.
+
+        Args:
+            timeout_s: Longest time in s that it takes.
+        """
+        until_s = loop_time() + timeout_s
+        try:
+            async with asyncio.timeout(STORE_SETTLE_SHARE * timeout_s):
+                await self.rate_limiter.report_all()
+                await self.release_shards()
+        except TimeoutError:
+            self.timeline.record("shards_not_released")
+        await finish_links(self.peers.links(), until_s - loop_time())
+
     async def release_shards(self) -> None:
         """Releases the shards that this entry holds, for a graceful shutdown."""
         await self.shard_manager.release_all()
--- a/wasabimux/entry/rate_gate.py
+++ b/wasabimux/entry/rate_gate.py
@@ -108,11 +108,18 @@
         """Sends reports to holders periodically until it is cancelled."""
         while True:
             await asyncio.sleep(REPORT_INTERVAL_S)
-            for workspace, grants in list(self._grants_by_workspace.items()):
-                if grants.has_report(loop_time()):
-                    await self._send_report(workspace, grants)
-                if grants.is_idle(loop_time()):
-                    del self._grants_by_workspace[workspace]
+            await self.report_all()
+
+    async def report_all(self) -> None:
+        """Sends reports to holders on what was spent and refunded since the last ones.
+
+        Grants that are not used any more are dropped.
+        """
+        for workspace, grants in list(self._grants_by_workspace.items()):
+            if grants.has_report(loop_time()):
+                await self._send_report(workspace, grants)
+            if grants.is_idle(loop_time()):
+                self._grants_by_workspace.pop(workspace, None)
 
     def on_reply(self, reply: GrantReply) -> None:
         """Passes a holder's decision to the grant request that waits for it."""
--- a/wasabimux/platform/standins/runner.py
+++ b/wasabimux/platform/standins/runner.py
@@ -63,6 +63,7 @@
         cut_after_events: Number of events after which responses are cut, 0 to cut them
             after the headers; None for complete responses.
         delay_s: Delay before each response, in s.
+        control_delay_s: Delay before each answer to a control call, in s.
         refuse_reservations: True to refuse slot reservations.
         stall_after_events: Number of events after which responses send only comments;
             None for complete responses.
@@ -90,6 +91,7 @@
     cut_after_events: int | None = None
     stall_after_events: int | None = None
     delay_s: float = 0.0
+    control_delay_s: float = 0.0
     refuse_reservations: bool = False
     fail_kv_cache_copies: bool = False
     crashing_part: str = ""
@@ -237,6 +239,7 @@
         body = await request.body()
         await self._wait_until_restarted()
         if request.path.startswith("/v1/"):
+            await asyncio.sleep(self.faults.control_delay_s)
             return self._handle_control(request, body)
         headers = dict(request.headers)
         expected = headers.get(header_names.EXPECT_INSTANCE, b"").decode()
--- a/wasabimux/relay/mesh.py
+++ b/wasabimux/relay/mesh.py
@@ -208,6 +208,11 @@
         except TimeoutError:
             self._timeline.record("peers_not_told", peers=len(links))
 
+    def report_last_usage(self) -> None:
+        """Reports what this relay has used up to now, as its process ends."""
+        self.notify_usage_changed()
+        self._send_reports(loop_time())
+
     def on_message(self, link: Link, message: Message) -> None:
         """Handles a message from a peer."""
         if isinstance(message, RelayIdentity):
--- a/wasabimux/relay/process.py
+++ b/wasabimux/relay/process.py
@@ -39,6 +39,12 @@
 #: Fraction of the grace time within which running requests may complete.
 GRACE_FRACTION = 0.92
 
+#: Fraction of the grace time that is left at least for what the relay owes to others.
+SETTLE_FRACTION = 0.03
+
+#: Longest time in s for which answers to operators and load balancers are awaited.
+OPERATORS_DRAIN_S = 0.5
+
 #: Time in s before the end of that time by which the last answers are written.
 ANSWER_MARGIN_S = 0.2
 
@@ -123,6 +129,16 @@
         accept_s = min(ACCEPT_AFTER_TERM_S, settings.grace_s / 3)
         await asyncio.sleep(accept_s)
         drained = await http_server.drain(ends_s - loop_time())
+        if not drained:
+            http_server.close()
+        least_s = settings.grace_s * SETTLE_FRACTION
+        left_s = max(least_s, ends_s - loop_time())
+        operators_s = min(left_s, OPERATORS_DRAIN_S)
+        await asyncio.gather(
+            relay.settle(left_s),
+            readiness_server.drain(operators_s),
+            admin_server.drain(operators_s),
+        )
         timeline.record("drained", complete=drained)
         return drained
 
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -29,7 +29,7 @@
 from wasabimux.errors import ErrorCode, Ran, Refusal, RefusedError, refused
 from wasabimux.ids import FailureDomainId, RequestId, WorkspaceId, new_incarnation
 from wasabimux.link.channels import connect_tcp
-from wasabimux.link.link import Link, LinkTraffic
+from wasabimux.link.link import Link, LinkTraffic, finish_links
 from wasabimux.link.messages import (
     EngineCrashes,
     Message,
@@ -87,6 +87,8 @@
 #: load balancers notice the shutdown meanwhile.
 SHUTDOWN_RETRY_AFTER_S = 0.5
 
+#: Share of the time for what is owed at the end that calls to upstreams may take.
+UPSTREAM_SETTLE_SHARE = 0.5
 
 logger = logging.getLogger("wasabimux.relay")
 
@@ -406,6 +408,19 @@
         for request in self._active:
             request.end_by(ends_s)
 
+    async def settle(self, timeout_s: float) -> None:
+        """Settles what this relay owes to upstreams and peers, once no request runs.
+
+        Args:
+            timeout_s: Longest time in s that it takes, beside the end of the links.
+        """
+        until_s = loop_time() + timeout_s
+        are_freed = await self.slots.settle(UPSTREAM_SETTLE_SHARE * timeout_s)
+        self.mesh.report_last_usage()
+        are_told = await finish_links(self.links.links(), until_s - loop_time())
+        if not (are_freed and are_told):
+            self._timeline.record("not_settled", freed=are_freed, told=are_told)
+
     def _check_shutdown(self, request: RelayRequest, now: float) -> None:
         """Checks that a request can end before this process does.
 
--- a/wasabimux/relay/slots.py
+++ b/wasabimux/relay/slots.py
@@ -412,6 +412,23 @@
         """
         self._call_in_background(engine, self._engines.free_kv_cache(handle))
 
+    async def settle(self, timeout_s: float) -> bool:
+        """Waits until the engines have freed what streams that ended held there.
+
+        Args:
+            timeout_s: Longest wait in s.
+
+        Returns:
+            False if the time was over.
+        """
+        until_s = loop_time() + timeout_s
+        while tasks := {*self._reserving.values(), *self._background_calls}:
+            left_s = until_s - loop_time()
+            if left_s <= 0:
+                return False
+            await asyncio.wait(tasks, timeout=left_s)
+        return True
+
     def _call_in_background(self, engine: Upstream, call: EngineCall) -> None:
         task = asyncio.ensure_future(self._free_at_engine(engine, call))
         self._background_calls.add(task)
--- a/wasabimux/runtime.py
+++ b/wasabimux/runtime.py
@@ -44,6 +44,12 @@
 #: Maximum time that a shutdown waits for running requests.
 DRAIN_TIMEOUT_S = 120.0
 
+#: Maximum time in s that a shutdown takes for what an entry owes to others.
+SETTLE_TIMEOUT_S = 6.0
+
+#: Maximum time in s that a shutdown waits for answers to operators.
+ADMIN_DRAIN_TIMEOUT_S = 0.5
+
 METRICS_REFRESH_INTERVAL_S = 1.0
 
 
@@ -134,7 +140,9 @@
     async def drain() -> bool:
         timeline.record("draining")
         drained = await http_server.drain(DRAIN_TIMEOUT_S)
-        await entry.release_shards()
+        await asyncio.gather(
+            entry.settle(SETTLE_TIMEOUT_S), admin_server.drain(ADMIN_DRAIN_TIMEOUT_S)
+        )
         timeline.record("drained", complete=drained)
         return drained
 
@@ -188,7 +196,9 @@
     starting = asyncio.ensure_future(agent.start())
 
     async def drain() -> bool:
-        return await agent.drain(DRAIN_TIMEOUT_S)
+        drained = await agent.drain(DRAIN_TIMEOUT_S)
+        await admin_server.drain(ADMIN_DRAIN_TIMEOUT_S)
+        return drained
 
     try:
         with agent, _reload_certificates(settings, tls):
--- a/wasabimux/standins/embedded.py
+++ b/wasabimux/standins/embedded.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import random
 from collections.abc import AsyncGenerator
@@ -43,10 +44,10 @@
 
     async def drain(self) -> bool:
         """Drains the entry, then the agents; returns True if all work completed."""
-        drained = await self.entry.drain()
-        for agent in self.agents_by_id.values():
-            drained = await agent.drain() and drained
-        return drained
+        entry_drained = await self.entry.drain()
+        agents = self.agents_by_id.values()
+        drained = await asyncio.gather(*(agent.drain() for agent in agents))
+        return entry_drained and all(drained)
 
 
 @asynccontextmanager
