Count the last lines of the log that could not be written

Seen: 376 of 400 lines of a process that ended while nobody read its log were lost, and nothing said so.

Cause: the writer thread blocks in one write of all lines, and the process ends after 1 s without it.

Evidence: test_process_whose_log_nobody_reads_ends_in_time_and_counts_lost_lines failed before (no line on standard error) and passes now.

Fix: lines are written in pieces that a pipe takes without blocking, so the thread ends in time, knows which lines it did not write, and counts them; the count is named on standard error as the process ends.

--- a/wasabimux/adapters/log_writer.py
+++ b/wasabimux/adapters/log_writer.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
-import sys
+import math
+import os
+import select
 import threading
 import time
 from collections import deque
@@ -19,6 +22,15 @@
 #: Time for which lines are collected into one write, in s.
 BATCH_DELAY_S = 0.1
 
+#: Longest time in s for which the last lines are written as the process ends.
+CLOSE_TIMEOUT_S = 1.0
+
+#: Time in s between checks of whether the process ends, while nobody reads the lines.
+WRITE_CHECK_INTERVAL_S = 0.1
+
+STDOUT = 1
+STDERR = 2
+
 LINE_FORMAT = "time=%(asctime)s.%(msecs)03dZ level=%(levelname)s %(message)s"
 TIME_FORMAT = "%Y-%m-%dT%H:%M:%S"
 
@@ -26,12 +38,9 @@
 class LogWriter(logging.Handler):
     """Log handler with a bounded queue and a writer thread.
 
-    If the reader of standard output stops reading, only the writer thread blocks;
-    lines are then dropped and counted. Use as a context manager, which writes the
-    queued lines on exit.
-
-    Attributes:
-        dropped_line_count: Number of lines dropped so far.
+    If the reader of standard output stops reading, only the writer thread waits; lines
+    are then dropped and counted. Use as a context manager: on exit it writes the queued
+    lines for up to CLOSE_TIMEOUT_S, and names those that remain on standard error.
     """
 
     def __init__(self) -> None:
@@ -39,11 +48,12 @@
         formatter = logging.Formatter(LINE_FORMAT, TIME_FORMAT)
         formatter.converter = time.gmtime
         self.setFormatter(formatter)
-        self.dropped_line_count = 0
+        self._refused_line_count = 0
+        self._unwritten_line_count = 0
         self._reported_drop_count = 0
         self._queue: deque[str] = deque()
         self._wake_event = threading.Event()
-        self._is_closing = False
+        self._closes_s = math.inf
         self._tokens = MAX_BURST_LINES
         self._refilled_s = time.monotonic()
         self._thread = threading.Thread(target=self._write_until_closed, daemon=True)
@@ -58,9 +68,16 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        self._is_closing = True
+        self._closes_s = time.monotonic() + CLOSE_TIMEOUT_S
         self._wake_event.set()
-        self._thread.join(timeout=1.0)
+        self._thread.join(timeout=CLOSE_TIMEOUT_S + 2 * WRITE_CHECK_INTERVAL_S)
+        if self.dropped_line_count > self._reported_drop_count:
+            _write_if_ready(STDERR, f"{self._drop_report()}\n".encode())
+
+    @property
+    def dropped_line_count(self) -> int:
+        """Number of lines dropped so far."""
+        return self._refused_line_count + self._unwritten_line_count
 
     def emit(self, record: logging.LogRecord) -> None:
         """Queues a line, or drops it above the rate limit or queue limit."""
@@ -69,7 +86,7 @@
         self._tokens = min(MAX_BURST_LINES, self._tokens + refill)
         self._refilled_s = now
         if self._tokens < 1.0 or len(self._queue) >= MAX_QUEUED_LINES:
-            self.dropped_line_count += 1
+            self._refused_line_count += 1
             return
         self._tokens -= 1.0
         self._queue.append(self.format(record))
@@ -84,15 +101,56 @@
             lines = []
             while self._queue:
                 lines.append(self._queue.popleft())
+            self._write_lines(lines)
             if self.dropped_line_count > self._reported_drop_count:
-                lines.append(f"event=log_lines_dropped total={self.dropped_line_count}")
-                self._reported_drop_count = self.dropped_line_count
-            if lines:
-                sys.stdout.write("\n".join(lines) + "\n")
-                sys.stdout.flush()
+                self._report_drops()
             if self._is_closing and not self._queue:
                 return
 
+    @property
+    def _is_closing(self) -> bool:
+        return self._closes_s < math.inf
+
+    def _report_drops(self) -> None:
+        count = self.dropped_line_count
+        if self._write(f"{self._drop_report()}\n".encode()) == 0:
+            self._reported_drop_count = count
+
+    def _drop_report(self) -> str:
+        return f"event=log_lines_dropped total={self.dropped_line_count}"
+
+    def _write_lines(self, lines: list[str]) -> None:
+        """Writes lines, and counts those of which the end was not written."""
+        if lines:
+            data = ("\n".join(lines) + "\n").encode(errors="backslashreplace")
+            unwritten = self._write(data)
+            self._unwritten_line_count += data.count(b"\n", len(data) - unwritten)
+
+    def _write(self, data: bytes) -> int:
+        """Writes as its reader reads; returns the bytes that were not written."""
+        left = memoryview(data)
+        try:
+            while left and self._wait_until_writable():
+                left = left[os.write(STDOUT, left[: select.PIPE_BUF]) :]
+        except OSError:
+            pass  # nobody can read it any more
+        return len(left)
+
+    def _wait_until_writable(self) -> bool:
+        """Returns whether PIPE_BUF bytes can be written before the writer closes."""
+        while True:
+            if select.select([], [STDOUT], [], WRITE_CHECK_INTERVAL_S)[1]:
+                return True
+            if time.monotonic() >= self._closes_s:
+                return False
+
+
+def _write_if_ready(descriptor: int, data: bytes) -> None:
+    """Writes some bytes, unless that would block."""
+    with contextlib.suppress(OSError):
+        if select.select([], [descriptor], [], 0.0)[1]:
+            os.write(descriptor, data)
+
 
 def install_log_writer(writer: LogWriter, level: str = "INFO") -> None:
     """Sends all log lines of the process to a log writer."""
