Guard the ends of links and of entries, and link to nobody while ending

A process that ends its links would have linked to its peers again while it waits for the last one, so its background tasks end first.

Sound before as well: an owner releases the slots of a relay whose link ends without a word; a peer that reads nothing holds a relay within the grace; an embedded fleet that owes nothing stops within 1 s.

--- a/tests/stopping_process.py
+++ b/tests/stopping_process.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import socket
+import ssl
 import subprocess
 import sys
 from pathlib import Path
@@ -97,13 +98,21 @@
         return data
 
 
-async def connect_slowly(port: int) -> SlowChannel:
-    """Connects to a port on this machine with a small receive buffer."""
+async def connect_slowly(port: int, tls: ssl.SSLContext | None = None) -> SlowChannel:
+    """Connects to a port on this machine with a small receive buffer.
+
+    Args:
+        port: The port.
+        tls: TLS context, None for plain TCP.
+    """
     connection = socket.socket()
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
     connection.setblocking(False)
     await asyncio.get_running_loop().sock_connect(connection, ("127.0.0.1", port))
-    reader, writer = await asyncio.open_connection(sock=connection, limit=READ_BYTES)
+    name = None if tls is None else "127.0.0.1"
+    reader, writer = await asyncio.open_connection(
+        sock=connection, limit=READ_BYTES, ssl=tls, server_hostname=name
+    )
     return SlowChannel(reader, writer)
 
 
--- a/tests/test_duties_at_stop.py
+++ b/tests/test_duties_at_stop.py
@@ -12,8 +12,18 @@
 from wasabimux._clock import loop_time
 from wasabimux.adapters.http_server import HttpServer
 from wasabimux.decisions.aggregation import Scope, UsageReport
+from wasabimux.decisions.memory_forecast import ZERO_FORECAST
 from wasabimux.ids import UpstreamId
-from wasabimux.relay.mesh import MAX_REPORT_INTERVAL_S
+from wasabimux.link.link import Link, LinkCallbacks
+from wasabimux.link.messages import RelayIdentity, SlotGrantRequest
+from wasabimux.ports import StoreUnavailable
+from wasabimux.relay.mesh import CONNECT_INTERVAL_S, MAX_REPORT_INTERVAL_S, relay_hello
+from wasabimux.runtime import SETTLE_TIMEOUT_S
+from wasabimux.settings.address import parse_address
+from wasabimux.settings.check import check_fleet
+from wasabimux.standins.embedded import run_embedded
+from wasabimux.standins.platform import MemoryPlatform
+from wasabimux.timeline import HybridClock
 
 TOKEN_COUNTS = "100,60"
 
@@ -24,6 +34,11 @@
 #: that calls would have stopped without waiting.
 CONTROL_DELAY_S = 0.9
 
+#: Time in s that a store which hangs takes for each call, and longest time in s of a
+#: stop of a fleet that owes nothing.
+STORE_TIMEOUT_S = 2.0
+CALM_STOP_S = 1.0
+
 #: Size of an answer to an operator, in bytes.
 ANSWER_BYTES = 60_000
 
@@ -130,3 +145,63 @@
         started_s = loop_time()
         assert await cluster.relays[0].drain()
         assert loop_time() - started_s < GRACE_S / 3 + 0.3
+
+
+async def test_slots_of_a_relay_that_ends_without_a_word_are_released() -> None:
+    """An owner needs no message for this: the end of the link is enough."""
+    async with relay_cluster(relays=2) as cluster:
+        owner = cluster.relays[1].relay.slot_arbiter
+        address = cluster.relays[0].relay.mesh.address
+        request = SlotGrantRequest(7, "dec-1", ZERO_FORECAST)
+        assert owner._grant_to_peer(address, request)
+        await cluster.runs[0].aclose()
+        await asyncio.sleep(2 * CONNECT_INTERVAL_S)
+        assert not owner._grants._grant_by_id
+
+
+async def test_peer_that_reads_nothing_holds_a_relay_no_longer_than_the_grace() -> None:
+    async with relay_cluster() as cluster:
+        relay = cluster.relays[0].relay
+        channel = await connect_slowly(parse_address(relay.mesh.address)[1])
+        hello = relay_hello("peer", 1)
+        link = Link(channel, hello, HybridClock(), LinkCallbacks(), initiator=True)
+        with link:
+            link.start()
+            await link.ready.wait()
+            link.send(0, RelayIdentity("127.0.0.1:9", "zone-a"))
+            await cluster.wait_until(lambda: bool(relay.links.links()))
+            channel.held = True
+            started_s = loop_time()
+            await stop(cluster)
+            assert loop_time() - started_s < GRACE_S
+
+
+async def test_store_that_hangs_holds_the_stop_of_an_entry_briefly(
+    brazos_document: dict[str, Any], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Regression: each shard of the rate limits took its own time to be released."""
+    async with run_embedded(check_fleet(brazos_document).ok) as fleet:
+        shards = fleet.entry.entry.shard_manager
+        while not shards.held_shards:
+            await asyncio.sleep(0.01)
+
+        async def hang(*args: object) -> int:
+            await asyncio.sleep(STORE_TIMEOUT_S)
+            raise StoreUnavailable()
+
+        monkeypatch.setattr(MemoryPlatform, "put", hang)
+        started_s = loop_time()
+        assert await fleet.drain()
+        assert loop_time() - started_s < SETTLE_TIMEOUT_S + 1.0
+
+
+async def test_embedded_fleet_that_owes_nothing_stops_at_once(
+    brazos_document: dict[str, Any],
+) -> None:
+    async with run_embedded(check_fleet(brazos_document).ok) as fleet:
+        pool = fleet.entry.entry.pool
+        while not all(pool.usable(item["id"]) for item in brazos_document["groups"]):
+            await asyncio.sleep(0.01)
+        started_s = loop_time()
+        assert await fleet.drain()
+        assert loop_time() - started_s < CALM_STOP_S
--- a/wasabimux/entry/entry.py
+++ b/wasabimux/entry/entry.py
@@ -208,8 +208,7 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        for task in self._tasks:
-            task.cancel()
+        self._cancel_tasks()
         self.pool.__exit__()
         self.peers.__exit__()
 
@@ -227,6 +226,8 @@
     async def settle(self, timeout_s: float) -> None:
         """Settles what this entry owes to other entries, once no request runs.
 
+        It ends the background tasks and the links to other entries.
+
         Args:
             timeout_s: Longest time in s that it takes.
         """
@@ -237,12 +238,18 @@
                 await self.release_shards()
         except TimeoutError:
             self.timeline.record("shards_not_released")
+        self._cancel_tasks()  # they would link to peers again
         await finish_links(self.peers.links(), until_s - loop_time())
 
     async def release_shards(self) -> None:
         """Releases the shards that this entry holds, for a graceful shutdown."""
         await self.shard_manager.release_all()
 
+    def _cancel_tasks(self) -> None:
+        """Cancels the background tasks."""
+        for task in self._tasks:
+            task.cancel()
+
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Returns the response to a client's request."""
         try:
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -333,8 +333,7 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        for task in self._tasks:
-            task.cancel()
+        self._cancel_tasks()
         self.quarantine.__exit__()
         self.stream_records.__exit__()
         self.links.__exit__()
@@ -411,11 +410,14 @@
     async def settle(self, timeout_s: float) -> None:
         """Settles what this relay owes to upstreams and peers, once no request runs.
 
+        It ends the background tasks and the links.
+
         Args:
-            timeout_s: Longest time in s that it takes, beside the end of the links.
+            timeout_s: Longest time in s that it takes.
         """
         until_s = loop_time() + timeout_s
         are_freed = await self.slots.settle(UPSTREAM_SETTLE_SHARE * timeout_s)
+        self._cancel_tasks()  # they would link to peers again
         self.mesh.report_last_usage()
         are_told = await finish_links(self.links.links(), until_s - loop_time())
         if not (are_freed and are_told):
@@ -588,6 +590,11 @@
                 )
         self.slots.wake()
 
+    def _cancel_tasks(self) -> None:
+        """Cancels the background tasks."""
+        for task in self._tasks:
+            task.cancel()
+
     async def _run_with_restarts(self, run: Callable[[], Awaitable[None]]) -> None:
         """Runs a background task until it returns; restarts it when it fails."""
         while True:
