--- a/tests/stopping_process.py
+++ b/tests/stopping_process.py
@@ -10,8 +10,9 @@
 import subprocess
 import sys
 from pathlib import Path
+from typing import Any
 
-from wasabimux.link.channels import TcpChannel
+from wasabimux.link.channels import TcpChannel, listen_tcp
 
 #: Send buffer of listeners, and receive buffer of peers, in bytes. They stand for a
 #: long way to the peer: what it has not read then stays in the sender.
@@ -120,3 +121,10 @@
     """Makes the connections that a listener accepts hold little in the system."""
     for listener in server.sockets:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+
+
+async def listen_shrunk(*args: Any, **keywords: Any) -> asyncio.Server:
+    """Listens for links with a small send buffer."""
+    server = await listen_tcp(*args, **keywords)
+    shrink_send_buffers(server)
+    return server
--- a/tests/test_duties_at_stop.py
+++ b/tests/test_duties_at_stop.py
@@ -3,20 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from collections.abc import AsyncGenerator
 from typing import Any
 
 import pytest
 
 from tests.relay_fixtures import RelayCluster, relay_cluster
-from tests.stopping_process import connect_slowly, shrink_send_buffers
+from tests.stopping_process import (
+    SlowChannel,
+    connect_slowly,
+    listen_shrunk,
+    shrink_send_buffers,
+)
 from wasabimux._clock import loop_time
 from wasabimux.adapters.http_server import HttpServer
 from wasabimux.decisions.aggregation import Scope, UsageReport
 from wasabimux.decisions.memory_forecast import ZERO_FORECAST
 from wasabimux.ids import UpstreamId
 from wasabimux.link.link import Link, LinkCallbacks
-from wasabimux.link.messages import RelayIdentity, SlotGrantRequest
+from wasabimux.link.messages import RelayIdentity, SettingsUpdate, SlotGrantRequest
 from wasabimux.ports import StoreUnavailable
+from wasabimux.relay import process
 from wasabimux.relay.mesh import CONNECT_INTERVAL_S, MAX_REPORT_INTERVAL_S, relay_hello
 from wasabimux.runtime import SETTLE_TIMEOUT_S
 from wasabimux.settings.address import parse_address
@@ -39,6 +47,9 @@
 STORE_TIMEOUT_S = 2.0
 CALM_STOP_S = 1.0
 
+#: Address by which a peer is known that is no relay.
+PEER_ADDRESS = "127.0.0.1:9"
+
 #: Size of an answer to an operator, in bytes.
 ANSWER_BYTES = 60_000
 
@@ -159,21 +170,42 @@
         assert not owner._grants._grant_by_id
 
 
+@contextlib.asynccontextmanager
+async def held_peer(cluster: RelayCluster) -> AsyncGenerator[SlowChannel, None]:
+    """Links a peer to the first relay, which reads nothing from then on."""
+    relay = cluster.relays[0].relay
+    channel = await connect_slowly(parse_address(relay.mesh.address)[1])
+    hello = relay_hello("peer", 1)
+    link = Link(channel, hello, HybridClock(), LinkCallbacks(), initiator=True)
+    with link:
+        link.start()
+        await link.ready.wait()
+        link.send(0, RelayIdentity(PEER_ADDRESS, "zone-a"))
+        await cluster.wait_until(
+            lambda: relay.mesh.send_to(PEER_ADDRESS, SettingsUpdate(0))
+        )
+        channel.held = True
+        yield channel
+
+
 async def test_peer_that_reads_nothing_holds_a_relay_no_longer_than_the_grace() -> None:
-    async with relay_cluster() as cluster:
-        relay = cluster.relays[0].relay
-        channel = await connect_slowly(parse_address(relay.mesh.address)[1])
-        hello = relay_hello("peer", 1)
-        link = Link(channel, hello, HybridClock(), LinkCallbacks(), initiator=True)
-        with link:
-            link.start()
-            await link.ready.wait()
-            link.send(0, RelayIdentity("127.0.0.1:9", "zone-a"))
-            await cluster.wait_until(lambda: bool(relay.links.links()))
-            channel.held = True
-            started_s = loop_time()
-            await stop(cluster)
-            assert loop_time() - started_s < GRACE_S
+    async with relay_cluster() as cluster, held_peer(cluster):
+        started_s = loop_time()
+        await stop(cluster)
+        assert loop_time() - started_s < GRACE_S
+
+
+async def test_peer_that_has_not_got_the_notice_of_a_stop_counts_as_not_told(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Regression: a notice counted as sent while this process still held it."""
+    monkeypatch.setattr(process, "listen_tcp", listen_shrunk)
+    async with relay_cluster() as cluster, held_peer(cluster):
+        mesh = cluster.relays[0].relay.mesh
+        mesh.send_to(PEER_ADDRESS, SettingsUpdate(0, b"x" * ANSWER_BYTES))
+        await mesh.announce_shutdown()
+        events = [event.name for event in cluster.relays[0].timeline.events()]
+        assert "peers_not_told" in events
 
 
 async def test_store_that_hangs_holds_the_stop_of_an_entry_briefly(
--- a/tests/test_last_messages_at_stop.py
+++ b/tests/test_last_messages_at_stop.py
@@ -14,12 +14,11 @@
     READ_PAUSE_S,
     StoppingProcess,
     connect_slowly,
-    shrink_send_buffers,
+    listen_shrunk,
 )
 from wasabimux import runtime
 from wasabimux._clock import loop_time
 from wasabimux.adapters.http_server import HttpRequest, HttpResponse, HttpServer
-from wasabimux.link.channels import listen_tcp
 from wasabimux.link.link import Link, LinkCallbacks
 from wasabimux.link.messages import (
     EndStream,
@@ -55,13 +54,6 @@
 )
 
 
-async def listen_shrunk(*args: Any, **keywords: Any) -> asyncio.Server:
-    """Listens for links with a small send buffer."""
-    server = await listen_tcp(*args, **keywords)
-    shrink_send_buffers(server)
-    return server
-
-
 async def reply(request: HttpRequest) -> HttpResponse:
     """Answers a call of the agent."""
     await request.body()
