--- a/tests/stopping_process.py
+++ b/tests/stopping_process.py
@@ -6,11 +6,13 @@
 import os
 import signal
 import socket
+import ssl
 import subprocess
 import sys
 from pathlib import Path
+from typing import Any
 
-from wasabimux.link.channels import TcpChannel
+from wasabimux.link.channels import TcpChannel, listen_tcp
 
 #: Send buffer of listeners, and receive buffer of peers, in bytes. They stand for a
 #: long way to the peer: what it has not read then stays in the sender.
@@ -97,13 +99,21 @@
         return data
 
 
-async def connect_slowly(port: int) -> SlowChannel:
-    """Connects to a port on this machine with a small receive buffer."""
+async def connect_slowly(port: int, tls: ssl.SSLContext | None = None) -> SlowChannel:
+    """Connects to a port on this machine with a small receive buffer.
+
+    Args:
+        port: The port.
+        tls: TLS context, None for plain TCP.
+    """
     connection = socket.socket()
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
     connection.setblocking(False)
     await asyncio.get_running_loop().sock_connect(connection, ("127.0.0.1", port))
-    reader, writer = await asyncio.open_connection(sock=connection, limit=READ_BYTES)
+    name = None if tls is None else "127.0.0.1"
+    reader, writer = await asyncio.open_connection(
+        sock=connection, limit=READ_BYTES, ssl=tls, server_hostname=name
+    )
     return SlowChannel(reader, writer)
 
 
@@ -111,3 +121,10 @@
     """Makes the connections that a listener accepts hold little in the system."""
     for listener in server.sockets:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+
+
+async def listen_shrunk(*args: Any, **keywords: Any) -> asyncio.Server:
+    """Listens for links with a small send buffer."""
+    server = await listen_tcp(*args, **keywords)
+    shrink_send_buffers(server)
+    return server
