Pass a removed entry on with the time for which it is kept

After an outage of the store, a relay that watches it keeps upstreams whose entries are missing for 2.2 s, as they may only have expired. The relays that it tells heard of a plain removal and dropped the upstreams at once: calls there were refused, or crowded on those left, until the entries were written again.

A forwarded object now bears the rest of the time for which its sender keeps it (a field of the existing message, 0 for all else). The receiver keeps it for as long and passes on what is then left. It holds for evacuations and for what a restore has lost, too. Relays of earlier versions ignore the field; nothing is sent more often.

Tried before: the time as a third field of ObjectChange. Code and tests that take a change apart into two failed (test_complete_revisions.py: too many values to unpack), so it is told beside the changes.

--- a/tests/test_complete_revisions.py
+++ b/tests/test_complete_revisions.py
@@ -8,7 +8,13 @@
 
 from tests.slow_link import SlowLink
 from wasabimux.ids import FailureDomainId, StoreRevision, UpstreamId
-from wasabimux.link.messages import ForwardedObject, ForwardedObjects, KindRevision
+from wasabimux.link.codec import decode_frame, encode_frame
+from wasabimux.link.messages import (
+    ForwardedObject,
+    ForwardedObjects,
+    FrameItem,
+    KindRevision,
+)
 from wasabimux.platform.documents import PlatformDocumentDecoder
 from wasabimux.platform.objects import date_removals
 from wasabimux.relay.forwarding import ObjectForwarder
@@ -134,3 +140,24 @@
         ObjectForwarder(view).apply(message, 10.0)
     assert UpstreamId("desk-1") in listing.upstream_by_id
     assert UpstreamId("desk-1") in view.upstream_by_id
+
+
+def test_entry_that_lapsed_is_kept_no_longer_than_by_the_relay_that_told_of_it(
+    view: FleetView,
+) -> None:
+    entry = ObjectChange(PlatformObject("desk-1", revision(5), SERVER), False)
+    view.apply_changes("servers", [entry], revision(5), 0.0)
+    lapsed = ForwardedObject("desk-1", revision(9), True, b"{}", keep_s=2.0)
+    message = ForwardedObjects("servers", revision(9), False, (lapsed,))
+    ObjectForwarder(view).apply(message, 10.0)
+    view.drop_expired(11.9)
+    assert UpstreamId("desk-1") in view.upstream_by_id
+    view.drop_expired(12.1)
+    assert UpstreamId("desk-1") not in view.upstream_by_id
+
+
+def test_time_for_which_a_lapsed_entry_is_kept_is_sent() -> None:
+    lapsed = ForwardedObject("desk-1", revision(9), True, b"{}", keep_s=1.25)
+    message = ForwardedObjects("servers", revision(9), False, (lapsed,))
+    (item,) = decode_frame(encode_frame(1, [FrameItem(0, message)])).items
+    assert item.message == message
--- a/wasabimux/link/_relay_codec.py
+++ b/wasabimux/link/_relay_codec.py
@@ -193,11 +193,12 @@
     forwarded.whole = message.is_snapshot
     forwarded.sinceEra, forwarded.sinceRevision = message.since
     objects = forwarded.init("objects", len(message.objects))
-    for target, (name, revision, deleted, value) in zip(objects, message.objects):
-        target.name = name
-        target.era, target.revision = revision
-        target.deleted = deleted
-        target.value = value
+    for target, item in zip(objects, message.objects):
+        target.name = item.name
+        target.era, target.revision = item.revision
+        target.deleted = item.deleted
+        target.value = item.value
+        target.keepMs = _to_uint32(item.keep_s * 1000)
 
 
 def encode_desired_state_offer(builder: Any, message: DesiredStateOffer) -> None:
@@ -266,7 +267,11 @@
         forwarded.whole,
         tuple(
             ForwardedObject(
-                source.name, _decode_revision(source), source.deleted, source.value
+                source.name,
+                _decode_revision(source),
+                source.deleted,
+                source.value,
+                source.keepMs / 1000,
             )
             for source in forwarded.objects
         ),
--- a/wasabimux/link/messages.py
+++ b/wasabimux/link/messages.py
@@ -285,12 +285,22 @@
 
 
 class ForwardedObject(NamedTuple):
-    """A platform object, forwarded by a relay that has read it from the store."""
+    """A platform object, forwarded by a relay that has read it from the store.
+
+    Attributes:
+        name: Name of the object.
+        revision: Revision of its last change, or of its deletion.
+        deleted: True if the object was deleted.
+        value: Its document.
+        keep_s: Time in s for which the sender still keeps a deleted object, as it may
+            only have expired; 0 if it is gone.
+    """
 
     name: str
     revision: StoreRevision
     deleted: bool
     value: bytes
+    keep_s: float = 0.0
 
 
 class ForwardedObjects(NamedTuple):
--- a/wasabimux/link/wire.capnp
+++ b/wasabimux/link/wire.capnp
@@ -290,6 +290,7 @@
   deleted @2 :Bool;
   value @3 :Data;
   era @4 :UInt64;
+  keepMs @5 :UInt32; # for which the sender still keeps a deleted object
 }
 
 struct RelayObjects {
--- a/wasabimux/relay/forwarding.py
+++ b/wasabimux/relay/forwarding.py
@@ -125,7 +125,7 @@
         for kind in self._view.revision_by_kind:
             known_revision = receiver.revision_by_kind.get(kind, NO_REVISION)
             if known_revision < self._view.changed_revision(kind):
-                message = self._objects_since(kind, known_revision)
+                message = self._objects_since(kind, known_revision, now)
                 link.send(0, message)
                 receiver.revision_by_kind[kind] = self._view.revision_by_kind[kind]
                 receiver.lag_by_kind[kind] = _Lag(now, link=link, message=message)
@@ -151,7 +151,7 @@
             changed_s = self._view.changed_s_by_kind[kind]
             lag = receiver.lag_by_kind.setdefault(kind, _Lag(changed_s))
             if lag.is_due(link, now):
-                message = self._objects_since(kind, known_revision)
+                message = self._objects_since(kind, known_revision, now)
                 link.send(0, message)
                 lag.on_forward(link, message, now)
 
@@ -190,8 +190,17 @@
         present = None
         if message.is_snapshot:
             present = {item.name for item in message.objects if not item.deleted}
+        keep_until_s_by_name = {
+            item.name: now + item.keep_s for item in message.objects if item.keep_s
+        }
         self._view.apply_forwarded(
-            message.kind, changes, message.since, message.revision, now, present
+            message.kind,
+            changes,
+            message.since,
+            message.revision,
+            now,
+            present,
+            keep_until_s_by_name,
         )
 
     def apply_offer(self, offer: DesiredStateOffer, now: float) -> None:
@@ -199,7 +208,9 @@
         document = _decode("desired state", offer.document)
         self._view.offer_desired_state(document, now)
 
-    def _objects_since(self, kind: str, revision: StoreRevision) -> ForwardedObjects:
+    def _objects_since(
+        self, kind: str, revision: StoreRevision, now: float
+    ) -> ForwardedObjects:
         """Returns the objects of a kind that have changed after a revision.
 
         If removals since then may be unknown, the names of the others are included.
@@ -214,8 +225,10 @@
                 value = self._encode(kind, name, cached)
             elif cached.deleted or not is_snapshot:
                 continue
+            keep_until_s = self._view.kept_until_s(kind, name) or now
+            keep_s = max(0.0, keep_until_s - now)
             objects.append(
-                ForwardedObject(name, cached.revision, cached.deleted, value)
+                ForwardedObject(name, cached.revision, cached.deleted, value, keep_s)
             )
         complete_revision = self._view.revision_by_kind[kind]
         return ForwardedObjects(
--- a/wasabimux/relay/view.py
+++ b/wasabimux/relay/view.py
@@ -9,7 +9,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 from wasabimux.decisions.route_table import RouteTable
@@ -62,6 +63,9 @@
 REMOVED_ENTRY_MEMORY_S = 60.0
 
 
+NOTHING_KEPT: Mapping[str, float] = MappingProxyType({})
+
+
 class _LastEntry(NamedTuple):
     """The newest known entry of an upstream, which may have been removed since.
 
@@ -160,6 +164,7 @@
         revision: StoreRevision,
         now: float,
         keep_missing_until_s: float | None = None,
+        keep_until_s_by_name: Mapping[str, float] = NOTHING_KEPT,
     ) -> None:
         """Applies changes of a kind up to a revision of the store.
 
@@ -171,6 +176,8 @@
             revision: Revision of the store up to which the view is complete then.
             now: Current time in s.
             keep_missing_until_s: As for apply_listing.
+            keep_until_s_by_name: Time in s until which some removed objects are kept
+                in any case, by their names.
         """
         cache = self.objects(kind)
         self._on_era(revision.era)
@@ -181,7 +188,7 @@
                 or (item.revision == cached.revision and deleted == cached.deleted)
             ):
                 continue
-            keep_until_s = keep_missing_until_s
+            keep_until_s = keep_until_s_by_name.get(item.name, keep_missing_until_s)
             if cached is not None and item.revision.era > cached.revision.era:
                 keep_until_s = max(keep_until_s or 0.0, now + REWRITE_GRACE_S)
             latest = CachedObject(item.revision, deleted, item.value)
@@ -205,6 +212,7 @@
         revision: StoreRevision,
         now: float,
         present: Collection[str] | None = None,
+        keep_until_s_by_name: Mapping[str, float] = NOTHING_KEPT,
     ) -> None:
         """Applies changes of a kind that a peer has forwarded.
 
@@ -218,6 +226,8 @@
             now: Current time in s.
             present: Names of all objects at `revision` if removals may be missing
                 among the changes, None if not.
+            keep_until_s_by_name: Time in s until which the peer keeps removed objects
+                that may only have expired, by their names.
         """
         known_revision = self.revision_by_kind.get(kind, NO_REVISION)
         newer = [
@@ -231,7 +241,20 @@
             revision = known_revision
         elif present is not None:
             self._on_listed(kind, revision, now)
-        self.apply_changes(kind, newer, revision, now)
+        self.apply_changes(
+            kind, newer, revision, now, keep_until_s_by_name=keep_until_s_by_name
+        )
+
+    def kept_until_s(self, kind: str, name: str) -> float | None:
+        """Returns the time in s until which a removed object is kept, None if it isn't.
+
+        It may only have expired in an outage of the store, or a restore has lost it.
+        """
+        if kind == self._documents.kinds.upstreams:
+            return self._keep_until_s_by_name.get(name)
+        if kind == self._documents.kinds.evacuations:
+            return self._keep_evacuated_until_s.get(FailureDomainId(name))
+        return None
 
     def changed_revision(self, kind: str) -> StoreRevision:
         """Returns the revision from which a peer lacks nothing that is known here."""
