--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -43,9 +43,16 @@
     Args:
         settings: Settings of the relay.
         directory: Directory for the settings file and the log.
+        program: Module of the command line, and arguments before its own.
     """
 
-    def __init__(self, settings: RelaySettings, directory: Path) -> None:
+    def __init__(
+        self,
+        settings: RelaySettings,
+        directory: Path,
+        program: Sequence[str] = ("wasabimux.cli.daemon",),
+    ) -> None:
+        self._program = program
         self.http_address = parse_address(settings.callers)
         self._log_path = directory / f"{settings.instance}.log"
         self._settings_path = directory / f"{settings.instance}.json"
@@ -60,7 +67,7 @@
 
     def start(self) -> None:
         """Starts the process."""
-        arguments = ["-m", "wasabimux.cli.daemon", "relay", str(self._settings_path)]
+        arguments = ["-m", *self._program, "relay", str(self._settings_path)]
         with self._log_path.open("ab") as output:
             self._process = subprocess.Popen(
                 [sys.executable, *arguments],
