Watch signals before a relay listens

Seen: a SIGTERM or SIGHUP sent as soon as a starting relay accepted connections ended the process by the signal (exit code -15 or -1), with what it had accepted; a SIGHUP took a relay out that was only to read its settings. Cause: the handlers were installed after the listeners, some ms later. Now signals are queued from the first line of the command on and taken in order once the relay runs.

--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -65,6 +65,11 @@
         assert self._process is not None
         return self._process.pid
 
+    @property
+    def is_running(self) -> bool:
+        """True while the process runs."""
+        return self._process is not None and self._process.poll() is None
+
     def start(self) -> None:
         """Starts the process."""
         arguments = ["-m", *self._program, "relay", str(self._settings_path)]
--- a/wasabimux/cli/daemon.py
+++ b/wasabimux/cli/daemon.py
@@ -106,7 +106,11 @@
     """
     from wasabimux.adapters.log_writer import LogWriter, install_log_writer
     from wasabimux.platform.relay_platform import relay_platform
-    from wasabimux.relay.process import run_relay, wait_for_shutdown_signal
+    from wasabimux.relay.process import (
+        run_relay,
+        wait_for_shutdown_signal,
+        watch_signals,
+    )
     from wasabimux.settings.process import RelaySettings, relay_environment
 
     path = settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
@@ -114,13 +118,14 @@
     checked_settings = _settings_or_exit(read, path)
 
     async def run(writer: LogWriter) -> bool:
+        signals = watch_signals()
         platform = relay_platform(checked_settings.platform)
         rng = random.Random()
         running_relay = run_relay(
             checked_settings, platform, rng, lambda: writer.dropped_line_count
         )
         async with running_relay as running:
-            await wait_for_shutdown_signal(path, running.timeline)
+            await wait_for_shutdown_signal(signals, path, running.timeline)
             return await running.drain()
 
     with LogWriter() as writer:
--- a/wasabimux/relay/process.py
+++ b/wasabimux/relay/process.py
@@ -162,16 +162,31 @@
             timeline.record("stopped")
 
 
-async def wait_for_shutdown_signal(settings_path: Path, timeline: Timeline) -> None:
-    """Waits for SIGINT or SIGTERM; checks the settings file again on each SIGHUP."""
-    shutdown = asyncio.Event()
+def watch_signals() -> asyncio.Queue[signal.Signals]:
+    """Returns a queue of the signals that the process gets from now on.
+
+    It is to be called before the relay listens: a signal without a handler ends the
+    process and the connections that it has accepted.
+    """
+    received: asyncio.Queue[signal.Signals] = asyncio.Queue()
     loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(signal_number, shutdown.set)
-    loop.add_signal_handler(
-        signal.SIGHUP, lambda: _check_settings(settings_path, timeline)
-    )
-    await shutdown.wait()
+    for signal_number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+        loop.add_signal_handler(signal_number, received.put_nowait, signal_number)
+    return received
+
+
+async def wait_for_shutdown_signal(
+    received: asyncio.Queue[signal.Signals], settings_path: Path, timeline: Timeline
+) -> None:
+    """Waits for SIGINT or SIGTERM; checks the settings file again on each SIGHUP.
+
+    Args:
+        received: Signals of the process.
+        settings_path: The settings file.
+        timeline: Timeline that tells what the checks have found.
+    """
+    while await received.get() is signal.SIGHUP:
+        _check_settings(settings_path, timeline)
 
 
 def _check_settings(path: Path, timeline: Timeline) -> None:
