Stop reading an answer at an agent once it is too large to be stored

What callers saw: a service that answers a call that must run once with a body that never ends is read until the call's deadline, and its agent keeps all of it; an agent without that memory ends, and the calls of others with it.

Cause: CallWorker._send joined the whole body first and compared it with MAX_STORED_REPLY_BYTES afterwards.

Why it works: reading stops with the first piece beyond the bound, and the connection is closed. What the caller gets is as before (too_large, ran: yes).

--- a/tests/raw_upstream.py
+++ b/tests/raw_upstream.py
@@ -109,17 +109,27 @@
         writer.close()
 
     async def _read(self, reader: asyncio.StreamReader, connection: int) -> RawRequest:
-        head = await reader.readuntil(HEAD_END)
-        first, *lines = head.removesuffix(HEAD_END).split(b"\r\n")
-        method, target, _ = first.decode().split(" ")
-        pairs = [line.partition(b":") for line in lines]
-        headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
-        await reader.readexactly(int(headers.get(b"content-length", b"0")))
-        request = RawRequest(method, target, headers, connection)
+        request = await read_request(reader, connection)
         self.requests.append(request)
         return request
 
 
+async def read_request(reader: asyncio.StreamReader, connection: int = 1) -> RawRequest:
+    """Reads one request with its body.
+
+    Args:
+        reader: Reader of the connection.
+        connection: Number of the connection, from 1.
+    """
+    head = await reader.readuntil(HEAD_END)
+    first, *lines = head.removesuffix(HEAD_END).split(b"\r\n")
+    method, target, _ = first.decode().split(" ")
+    pairs = [line.partition(b":") for line in lines]
+    headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
+    await reader.readexactly(int(headers.get(b"content-length", b"0")))
+    return RawRequest(method, target, headers, connection)
+
+
 @contextlib.asynccontextmanager
 async def raw_upstream(
     cluster: RelayCluster, replaced: tuple[str, ...], upstream: RawUpstream
--- a/wasabimux/agent/calls.py
+++ b/wasabimux/agent/calls.py
@@ -21,7 +21,13 @@
 from wasabimux.ids import RequestId
 from wasabimux.link.messages import EndStream, OpenStream, ResponseHead
 from wasabimux.link.stream import LinkStream
-from wasabimux.ports import Headers, PlainCall, PlainUpstream, UpstreamLost
+from wasabimux.ports import (
+    Headers,
+    PlainCall,
+    PlainResponse,
+    PlainUpstream,
+    UpstreamLost,
+)
 from wasabimux.timeline import Timeline
 
 #: Largest response body that is stored for a call that must not run twice.
@@ -161,7 +167,7 @@
                 asyncio.timeout(remaining_s),
                 self._service.call(_plain_call(message)) as response,
             ):
-                body = b"".join([chunk async for chunk in response.pieces()])
+                body = await _stored_body(response)
         except UpstreamLost as error:
             self._admission.on_cold_signal(loop_time())
             ran = Ran.UNKNOWN if error.sent else Ran.NO
@@ -171,7 +177,7 @@
         except TimeoutError:
             text = "the call did not end before its deadline"
             return CallOutcome(refusal=Refusal(ErrorCode.DEADLINE, text, Ran.UNKNOWN))
-        if len(body) > MAX_STORED_REPLY_BYTES:
+        if body is None:
             text = "the response is too large to be stored for retries"
             return CallOutcome(refusal=Refusal(ErrorCode.TOO_LARGE, text, Ran.YES))
         self._admission.on_success(loop_time())
@@ -182,6 +188,20 @@
         return CallOutcome(response.status, end_to_end_headers(response.headers), body)
 
 
+async def _stored_body(response: PlainResponse) -> bytes | None:
+    """Returns the body of a response, None once it is too large to be stored.
+
+    Raises:
+        UpstreamLost: It ended early.
+    """
+    body = bytearray()
+    async for chunk in response.pieces():
+        body += chunk
+        if len(body) > MAX_STORED_REPLY_BYTES:
+            return None
+    return bytes(body)
+
+
 def _plain_call(message: OpenStream) -> PlainCall:
     headers = [
         *message.headers,
