Name each request whose caller leaves before it is admitted

What callers and operators saw: a request whose connection was reset within its body was logged as an error of the relay (handler_failed with a trace), without its identity; one that waited for its body at the end of the process was logged as refused, though nothing reached its caller; one that was cancelled there had no line at all.

Cause: Relay._handle recorded a cancellation only of admitted requests, and a lost connection came out of HttpRequest.body as a plain OSError, or, after an abort by the server, as a malformed body. handler_failed could name no request, as the server does not know its identity.

Why it works: the body ends with ConnectionEnded where the connection was lost or aborted, which the relay records as caller_left or cut_by_stop and the server does not take for an error of its handler. A handler sets the identity on its request.

--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -66,6 +66,10 @@
 logger = logging.getLogger("wasabimux.http")
 
 
+class ConnectionEnded(ConnectionError):
+    """Raised where a connection was lost or aborted before its request was whole."""
+
+
 class HttpLimits(NamedTuple):
     """Limits on requests of clients.
 
@@ -92,7 +96,8 @@
         headers: Headers with lower-case names.
         arrived_s: Loop time at which the head was complete, in s.
         body: Reads the whole body; raises RefusedError if it is malformed or
-            exceeds a limit.
+            exceeds a limit, ConnectionEnded if the connection was lost meanwhile.
+        request_id: Identity of the request in logs, which its handler sets.
     """
 
     method: str
@@ -100,6 +105,7 @@
     headers: Headers
     arrived_s: float
     body: Callable[[], Awaitable[bytes]]
+    request_id: str = ""
 
     @property
     def path(self) -> str:
@@ -516,6 +522,7 @@
         Raises:
             RefusedError: It is malformed or too large, there is no memory for it, or
                 no data came in time.
+            ConnectionEnded: The connection was lost or aborted.
         """
         while True:
             try:
@@ -525,7 +532,11 @@
                 raise refused(
                     ErrorCode.BAD_REQUEST, "timeout while reading the request body"
                 )
+            except OSError as error:
+                raise ConnectionEnded(str(error)) from error
             except h11.RemoteProtocolError as error:
+                if self._aborted is not None:
+                    raise ConnectionEnded(str(error)) from error
                 raise refused(ErrorCode.BAD_REQUEST, str(error))
             if not isinstance(event, h11.Data):
                 return
@@ -578,8 +589,14 @@
             response = await self._handler(request)
         except RefusedError as error:
             response = refusal_response(error.refusal)
+        except ConnectionEnded:
+            raise
         except Exception:
-            logger.exception("event=handler_failed target_path=%s", request.path)
+            logger.exception(
+                "event=handler_failed request_id=%s target_path=%s",
+                request.request_id,
+                request.path,
+            )
             internal_error = Refusal(ErrorCode.INTERNAL, "internal error", Ran.UNKNOWN)
             response = refusal_response(internal_error)
         with response.held or nullcontext():
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -10,6 +10,7 @@
 
 from wasabimux._clock import loop_time
 from wasabimux.adapters.http_server import (
+    ConnectionEnded,
     HttpRequest,
     HttpResponse,
     HttpServer,
@@ -376,14 +377,18 @@
             return response
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
+        metadata = self._admission.read_metadata(request)
+        request.request_id = metadata.id
         try:
-            metadata = self._admission.read_metadata(request)
             body = await self._read_body(request, metadata)
             now = loop_time()
             admitted = self._admission.admit(request, metadata, body, now)
         except RefusedError as error:
             self._count_refusal(UNKNOWN_KIND, error.refusal, request.arrived_s)
             raise
+        except (asyncio.CancelledError, ConnectionEnded):
+            self._record_not_admitted(metadata.id, request.arrived_s)
+            raise
         kind = admitted.route.request_kind.value
         self.retries.for_service(admitted.service.name).on_request(now)
         self.rollouts.on_request(admitted)
@@ -468,12 +473,24 @@
 
     def _record_cancelled(self, request: RelayRequest) -> None:
         """Records a request whose caller left, or that the end of the process cut."""
-        age_ms = round((loop_time() - request.arrived_s) * 1000)
-        if self.http_server is not None and self.http_server.closed:
+        age_ms = _age_ms(request.arrived_s)
+        if self._is_http_closed():
             self._records.record(request, "cut_by_stop", age_ms=age_ms)
         else:
             self._records.record(request, "caller_left", age_ms=age_ms)
 
+    def _record_not_admitted(self, request_id: RequestId, arrived_s: float) -> None:
+        """Records a request that ended in the same ways before it was admitted."""
+        age_ms = _age_ms(arrived_s)
+        if self._is_http_closed():
+            self._timeline.record("cut_by_stop", request_id, age_ms=age_ms)
+        else:
+            self._timeline.record("caller_left", request_id, age_ms=age_ms)
+
+    def _is_http_closed(self) -> bool:
+        """Returns whether all connections of clients were aborted."""
+        return self.http_server is not None and self.http_server.closed
+
     def _count_when_done(
         self, response: HttpResponse, request: RelayRequest
     ) -> HttpResponse:
@@ -672,6 +689,11 @@
         )
 
 
+def _age_ms(arrived_s: float) -> int:
+    """Returns the time in ms since a loop time in s."""
+    return round((loop_time() - arrived_s) * 1000)
+
+
 def _load_of(upstream: Upstream, now: float) -> UpstreamLoad:
     """Returns the load that this relay has on an upstream."""
     memory = upstream.memory()
