Bound what is read ahead on a connection while a request runs

What held it: the buffer of h11. The watch for a disconnect looked at the bound on what is ahead only after it had read, and each request starts a watch: every request of 200 bytes took in up to 64 kB more.

A first form of the test, which sent each request by itself, did not fail at the front: its clients were too slow.

--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 	$(BIN)/python -m benchmarks.domain
 	$(BIN)/python -m benchmarks.calls
 	$(BIN)/python -m benchmarks.rollout
+	$(BIN)/python -m benchmarks.crowds
 
 slopes: $(VENV)/.installed
 	$(BIN)/python -m benchmarks.slopes
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -54,6 +54,10 @@
 #: Requests sent ahead on one connection.
 REQUESTS_AHEAD = 5_000
 
+#: The same of clients that send many at once: times that they send, and requests.
+BATCHES_AHEAD = 400
+REQUESTS_OF_BATCH = 50
+
 #: Size in bytes of an answer that nobody reads, and answers asked for on a connection.
 ANSWER_BYTES = 4_000_000
 UNREAD_ANSWERS = 3
@@ -152,6 +156,17 @@
     """Yields a relay that serves, on a machine of MEMORY_MB."""
     monkeypatch.setenv("RELAY_MEMORY_MB", str(MEMORY_MB))
     monkeypatch.setenv("RELAY_MAX_DESCRIPTORS", str(MAX_DESCRIPTORS))
+    async with start_door(tmp_path) as door:
+        yield door
+
+
+@contextlib.asynccontextmanager
+async def start_door(directory: Path) -> AsyncGenerator[Door, None]:
+    """Runs a relay that serves, on the machine that the environment tells of.
+
+    Args:
+        directory: Directory for the settings file and the log.
+    """
     async with contextlib.AsyncExitStack() as stack:
         store = await stack.enter_async_context(StandInStore())
         address = await store.listen()
@@ -163,7 +178,7 @@
         state["limits"]["maxHeaderBytes"] = 32_000
         await store.put("config", "main", state)
         settings = relay_settings("relay", address)
-        process = RelayProcess(settings, tmp_path)
+        process = RelayProcess(settings, directory)
         stack.callback(process.kill)
         process.start()
         ports = {
@@ -246,6 +261,13 @@
         yield head(path, method="GET", number=request)
 
 
+def batches_ahead(path: str, number: int) -> Iterator[bytes]:
+    """Yields more requests than that, many at once."""
+    for batch in range(number * BATCHES_AHEAD, (number + 1) * BATCHES_AHEAD):
+        numbers = range(batch * REQUESTS_OF_BATCH, (batch + 1) * REQUESTS_OF_BATCH)
+        yield b"".join(head(path, method="GET", number=n) for n in numbers)
+
+
 def slow_sender(path: str, number: int) -> Iterator[bytes]:
     """Yields a part of a body."""
     yield head(path, f"content-length: {MAX_BODY_BYTES}", number=number)
@@ -292,6 +314,17 @@
     await door.bear(lambda n: send_and_stay(address, pieces(path, n)), CROWD)
 
 
+@pytest.mark.parametrize(
+    ("port", "path"), [("front", ORDINARY_PATH), ("ready", "/v1/ready")]
+)
+async def test_requests_ahead_are_left_to_the_socket(
+    door: Door, port: str, path: str
+) -> None:
+    """Each request that ran let further ones be read, without a bound."""
+    address = door.address_by_port[port]
+    await door.bear(lambda n: send_and_stay(address, batches_ahead(path, n)), CROWD)
+
+
 @pytest.mark.parametrize("path", BODY_PATHS)
 async def test_slow_senders(door: Door, path: str) -> None:
     address = door.address_by_port["front"]
--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -30,6 +30,9 @@
 
 MAX_HEAD_BYTES = 32 * 1024
 
+#: Bytes of further requests from which on no more are read while a request runs.
+MAX_AHEAD_BYTES = MAX_HEAD_BYTES
+
 #: Connections that wait to be accepted. So many are accepted in one cycle of the event
 #: loop, before those beyond the bound on connections are closed.
 LISTEN_BACKLOG = 256
@@ -576,13 +579,12 @@
     async def _wait_for_disconnect(self) -> None:
         """Returns once the client has closed its side of the connection."""
         await self._body_read.wait()
-        while True:
-            data = await self._reader.read(READ_BYTES)
+        while len(self._http.trailing_data[0]) < MAX_AHEAD_BYTES:
+            data = await self._reader.read(MAX_AHEAD_BYTES)
             self._http.receive_data(data)
             if not data:
                 return
-            if len(self._http.trailing_data[0]) > MAX_HEAD_BYTES:
-                await asyncio.Event().wait()  # leave further data in the socket buffer
+        await asyncio.Event().wait()  # leave further data in the socket buffer
 
     async def _handle_and_write(self, request: HttpRequest) -> None:
         try:
