Notice a gap after a take-up at the relay that served the stream

A caller that took its broken stream up got events 4 to 6 after event 2: the next engine left event 3 out, and the relay, which cuts a stream there when it resumes or moves it itself, had forgotten that the IDs were consecutive. A take-up names one event, which alone doesn't tell.

A caller that goes on after an event which this relay has passed on is held to the next ID.

--- a/wasabimux/relay/engine_stream.py
+++ b/wasabimux/relay/engine_stream.py
@@ -24,36 +24,66 @@
 EVENT_STREAM_TYPE = b"text/event-stream"
 
 
+@dataclass(slots=True)
+class EventNumbering:
+    """The IDs of a stream's events, as far as they were passed on.
+
+    Attributes:
+        last_id: ID of the last event, None before the first.
+        steps: Number of IDs that were the next after the one before.
+        has_gaps: True once there was another ID.
+    """
+
+    last_id: int | None = None
+    steps: int = 0
+    has_gaps: bool = False
+
+    @property
+    def is_consecutive(self) -> bool:
+        """True if the next event is known to have the next ID."""
+        return self.steps > 0 and not self.has_gaps
+
+    def on_id(self, event_id: int) -> None:
+        """Records the ID of an event that is passed on."""
+        if event_id == (self.last_id or 0) + 1:
+            self.steps += 1
+        else:
+            self.has_gaps = True
+        self.last_id = event_id
+
+    def after(self, event_id: int) -> EventNumbering:
+        """Returns what is known of the IDs for a caller that goes on after an event."""
+        if self.last_id is None or event_id > self.last_id:
+            return EventNumbering(event_id)
+        return EventNumbering(event_id, self.steps, self.has_gaps)
+
+
 @dataclass(slots=True)
 class StreamProgress:
     """Position of the client in a stream.
 
     Attributes:
-        last_id: ID of the last event passed on, None before the first.
+        numbering: IDs of the events passed on.
         resumable: True if the stream may go on at another engine, for which the IDs
             of its events must increase.
         events: Number of events passed on.
-        steps: Number of IDs passed on that were the next after the one before.
-        has_gaps: True once another ID was passed on.
         was_stopped: True if the stream was stopped after the last event, so that more
             must follow.
         ended_at: Engines that found no event after the last one.
         engines: Engines in service that can go on with the stream.
     """
 
-    last_id: int | None
+    numbering: EventNumbering
     resumable: bool
     events: int = 0
-    steps: int = 0
-    has_gaps: bool = False
     was_stopped: bool = False
     ended_at: set[UpstreamId] = field(default_factory=set)
     engines: set[UpstreamId] = field(default_factory=set)
 
     @property
-    def is_consecutive(self) -> bool:
-        """True if the next event is known to have the next ID."""
-        return self.steps > 0 and not self.has_gaps
+    def last_id(self) -> int | None:
+        """ID of the last event passed on, None before the first."""
+        return self.numbering.last_id
 
     def on_event(self, event: ServerSentEvent) -> None:
         """Records an event that is passed on."""
@@ -62,11 +92,7 @@
             return
         self.was_stopped = False
         self.ended_at.clear()
-        if event.id == (self.last_id or 0) + 1:
-            self.steps += 1
-        else:
-            self.has_gaps = True
-        self.last_id = event.id
+        self.numbering.on_id(event.id)
 
     def on_no_event(self, engine: UpstreamId) -> bool:
         """Records that an engine finds no event after the last one.
@@ -164,7 +190,8 @@
         """
         if self.last_id is None:
             return True
-        if self.last_id == self.progress.last_id and self.progress.is_consecutive:
+        known = self.progress.numbering
+        if self.last_id == known.last_id and known.is_consecutive:
             return event_id == self.last_id + 1
         return event_id > self.last_id
 
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -12,6 +12,7 @@
 from wasabimux.ids import UpstreamId
 from wasabimux.ports import StreamMismatch, UpstreamLost, UpstreamStalled
 from wasabimux.relay.answers import AnswerReceiver
+from wasabimux.relay.begun_streams import BegunStreams
 from wasabimux.relay.context import RelayRequest
 from wasabimux.relay.engine_stream import ActiveStream, EngineStream, StreamProgress
 from wasabimux.relay.model import Phase
@@ -84,6 +85,7 @@
         self._header_codec = header_codec
         self._retries = StreamRetries(quarantine, budgets, recorder)
         self._starter = StreamStarter(quarantine, self._retries, answers, recorder)
+        self._begun_streams = BegunStreams()
 
     async def serve(self, request: RelayRequest) -> HttpResponse:
         """Serves a streaming request; returns once the first event has arrived.
@@ -94,10 +96,10 @@
         async with request.deadline_scope():
             if request.metadata.last_event_id is not None:
                 await self._find_version(request)
-            progress = StreamProgress(
-                request.metadata.last_event_id, request.route.resumable
-            )
+            progress = self._begun_streams.progress_of(request)
             stream = await self._open_stream(request, progress)
+        if request.route.resumable:
+            self._begun_streams.add(request, progress, loop_time())
         headers = self._header_codec.response_headers(stream.response.headers)
         active = ActiveStream(stream, self._slot_scheduler)
 
