Close connections that become idle in a stop sooner than at the drain

A connection whose last answer had begun before a stop stayed open until the drain, so that its client sent more to a process that is leaving. It is closed now once it was idle for 0.1 s and all is read; a client that sends again at once is still answered and told. The test of that holds.

--- a/tests/test_kept_connections_at_stop.py
+++ b/tests/test_kept_connections_at_stop.py
@@ -5,8 +5,10 @@
 import asyncio
 from collections.abc import AsyncGenerator
 
+import pytest
 import pytest_asyncio
 
+from wasabimux.adapters import http_server
 from wasabimux.adapters.http_server import HttpRequest, HttpResponse, HttpServer
 
 #: Time in s that the server takes for a request.
@@ -36,9 +38,10 @@
 
 
 async def test_request_after_an_answer_that_told_of_no_stop_is_answered(
-    server: HttpServer,
+    server: HttpServer, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Regression: the connection was closed at the end of the answer, untold."""
+    monkeypatch.setattr(http_server, "UNTOLD_IDLE_S", DRAIN_TIMEOUT_S)
     reader, writer = await asyncio.open_connection(*await server.listen("127.0.0.1", 0))
     writer.write(REQUEST % 1)
     await reader.readuntil(b"answer ")
@@ -53,6 +56,33 @@
     assert b"to /2" in answer
 
 
+async def test_connection_without_a_request_after_such_an_answer_is_closed(
+    server: HttpServer,
+) -> None:
+    reader, writer = await asyncio.open_connection(*await server.listen("127.0.0.1", 0))
+    writer.write(REQUEST % 1)
+    await reader.readuntil(b"answer ")
+    server.begin_drain()
+    async with asyncio.timeout(DRAIN_TIMEOUT_S):
+        answer = await reader.read()
+    writer.close()
+    assert b"to /1" in answer
+
+
+async def test_connection_that_waits_as_a_stop_begins_is_not_closed_by_it(
+    server: HttpServer,
+) -> None:
+    reader, writer = await asyncio.open_connection(*await server.listen("127.0.0.1", 0))
+    await asyncio.sleep(WORK_S)
+    server.begin_drain()
+    await asyncio.sleep(3 * WORK_S)
+    writer.write(REQUEST % 1)
+    async with asyncio.timeout(DRAIN_TIMEOUT_S):
+        answer = await reader.read()
+    writer.close()
+    assert b"to /1" in answer
+
+
 async def test_idle_connection_is_closed_by_a_drain_after_such_an_answer(
     server: HttpServer,
 ) -> None:
--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -49,6 +49,10 @@
 #: Interval in s at which a drain looks for connections that have become idle.
 DRAIN_CHECK_INTERVAL_S = 0.02
 
+#: Time in s after which a connection without a request is closed before a drain, if its
+#: client was not told of the stop. Its next request then goes to another process.
+UNTOLD_IDLE_S = 0.1
+
 #: Cycles of the event loop after which an accepted connection is being served.
 CONNECTION_START_CYCLES = 4
 
@@ -211,6 +215,7 @@
         self._tls = tls
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
+        self._closing_untold: asyncio.Task[None] | None = None
         self.draining = False
         self.closed = False
         self.sampler = LogSampler(MAX_LOG_LINES_PER_S)
@@ -237,9 +242,21 @@
     def begin_drain(self) -> None:
         """Closes each connection after its next response; still accepts new ones.
 
-        Requests that were sent ahead are answered first.
+        Requests that were sent ahead are answered first. A connection whose response
+        had begun before, and so did not say it, is closed once it is idle.
         """
         self.draining = True
+        self._closing_untold = asyncio.ensure_future(self._close_untold())
+
+    async def _close_untold(self) -> None:
+        """Closes connections that have become idle since the drain began."""
+        began_s = loop_time()
+        while True:
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+            idle_since_s = loop_time() - UNTOLD_IDLE_S
+            for connection in self._connections:
+                if began_s <= connection.waits_since_s <= idle_since_s:
+                    connection.close_if_idle()
 
     async def drain(self, timeout_s: float) -> bool:
         """Stops accepting connections and waits for running requests.
@@ -251,6 +268,7 @@
             True if all requests have ended.
         """
         self.draining = True
+        self._stop_closing_untold()
         if self._server is not None:
             await _accept_waiting(self._server)
             self._server.close()
@@ -266,11 +284,16 @@
     def close(self) -> None:
         """Stops listening and aborts all connections."""
         self.closed = True
+        self._stop_closing_untold()
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
             connection.abort(ResponseEnd.STOPPED)
 
+    def _stop_closing_untold(self) -> None:
+        if self._closing_untold is not None:
+            self._closing_untold.cancel()
+
     def _close_surplus(self) -> None:
         """Ends connections without a request that runs, if there are too many."""
         most = process_ledger().limits.connections
