--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -17,6 +17,7 @@
 from wasabimux.platform.store import PlatformStoreClient
 from wasabimux.ports import StoreConflict, StoreUnavailable
 from wasabimux.relay.leader_lease import LeaderLease, fencing_token_of
+from wasabimux.relay.object_watcher import EXPIRED_ENTRY_GRACE_S
 from wasabimux.relay.ports import HistoryLost, ObjectChange, PlatformObject
 from wasabimux.relay.view import REWRITE_GRACE_S, FleetView
 from wasabimux.settings.address import parse_address
@@ -25,6 +26,10 @@
 OTHER_KEY = "key-of-dyes"
 LEASE_S = 1.0
 
+#: Time in s after a restore in which relays hear of the store again, and after which no
+#: removal counts as an expiry in the outage.
+RECOVERED_S = 3.0
+
 
 @pytest.fixture
 def view() -> FleetView:
@@ -212,10 +217,16 @@
         )
     )  # what the first listing lacks may only have been lost with the restore
     await store.remove("servers", "desk-2")
-    async with asyncio.timeout(2.0):
+    async with asyncio.timeout(EXPIRED_ENTRY_GRACE_S + 2.0):  # it may have expired
         await cluster.wait_until(
             lambda: all("desk-2" not in r.pool.by_id for r in relays)
         )
+    await asyncio.sleep(RECOVERED_S)
+    await store.remove("servers", "dec-3")
+    async with asyncio.timeout(2.0):
+        await cluster.wait_until(
+            lambda: all("dec-3" not in r.pool.by_id for r in relays)
+        )
     assert all(r.view.era == 2 for r in relays)
 
 
