Let a stop for which all has arrived take no longer

Under TLS, a peer that reads nothing and whose link lives could not be told from a slow one any more on the way here; the end waits as a flush does.

--- a/wasabimux/link/channels.py
+++ b/wasabimux/link/channels.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import ssl
 import struct
 from collections.abc import Awaitable, Callable
@@ -79,14 +80,15 @@
 
         return await wait_until_delivered(count_outstanding, stall_timeout_s)
 
-    def end(self) -> None:
-        """Closes the sending side, or starts the end of TLS; the peer then closes."""
-        if self._writer.is_closing():
-            return
-        if self._writer.can_write_eof():
+    async def end(self, stall_timeout_s: float) -> bool:
+        """Ends the sending side once the peer has all; waits as `flush` does."""
+        if not self._writer.can_write_eof():
+            has_arrived = await self.flush(stall_timeout_s)
+            self._writer.close()  # starts the end of TLS, which the peer answers
+            return has_arrived
+        with contextlib.suppress(OSError):  # the connection was lost
             self._writer.write_eof()
-        else:
-            self._writer.close()
+        return await self.flush(stall_timeout_s)
 
     def close(self) -> None:
         """Closes the connection; unsent data is sent for up to CLOSE_LINGER_S."""
@@ -173,9 +175,11 @@
             lambda: 0 if self.closed else self.frames_under_way, stall_timeout_s
         )
 
-    def end(self) -> None:
-        """Closes both ends; the other one still receives what it has."""
+    async def end(self, stall_timeout_s: float) -> bool:
+        """Closes both ends once the other one has all; waits as `flush` does."""
+        has_arrived = await self.flush(stall_timeout_s)
         self.close()
+        return has_arrived
 
     def close(self) -> None:
         """Closes both ends."""
--- a/wasabimux/link/link.py
+++ b/wasabimux/link/link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
@@ -108,6 +109,7 @@
         self._has_outgoing.set()
         self._last_received_s = 0.0
         self._last_sent_s = 0.0
+        self._is_sending = False
         self._has_ended = False
         self._traffic = traffic or LinkTraffic()
         self._tasks: list[asyncio.Task[None]] = []
@@ -175,30 +177,47 @@
         Returns:
             False if nothing has arrived for PEER_TIMEOUT_S.
         """
-        while self._outgoing and not self.closed.is_set():
-            if not await self._channel.flush(PEER_TIMEOUT_S):
-                return False
-            await asyncio.sleep(0)
+        if not await self._send_queued():
+            return False
         return await self._channel.flush(PEER_TIMEOUT_S)
 
-    async def end(self, timeout_s: float) -> None:
-        """Sends nothing more, and waits until the peer has closed the link.
+    async def finish(self, timeout_s: float) -> bool:
+        """Sends all queued messages, and closes the link once the peer has done so.
 
-        The peer does so once it has handled all. A connection that is closed earlier
+        The peer closes it once it has handled all. A connection that is closed earlier
         fails as the peer sends, and what the peer has not read is lost.
 
         Args:
-            timeout_s: Time in s after which the link is closed by this side.
+            timeout_s: Longest time in s that it takes.
+
+        Returns:
+            False if the peer does not have all, and the link was not lost.
         """
+        until_s = loop_time() + timeout_s
         self._has_ended = True
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self.flush()
-                if not self.closed.is_set():
-                    self._channel.end()
-                await self.closed.wait()
-        except TimeoutError:
-            self.close()
+        has_arrived = False
+        with self, contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(until_s):
+                has_arrived = await self._send_end()
+            if has_arrived:
+                until_s = min(until_s, loop_time() + END_TIMEOUT_S)
+                async with asyncio.timeout_at(until_s):
+                    await self.closed.wait()
+        return has_arrived
+
+    async def _send_end(self) -> bool:
+        """Sends all queued messages and the end; returns False if they stall."""
+        if not await self._send_queued():
+            return False
+        return self.closed.is_set() or await self._channel.end(PEER_TIMEOUT_S)
+
+    async def _send_queued(self) -> bool:
+        """Waits until the channel has all messages; returns False if they stall."""
+        while self._outgoing and not self.closed.is_set():
+            await asyncio.sleep(0)
+            if self._is_sending and not await self._channel.flush(PEER_TIMEOUT_S):
+                return False
+        return True
 
     async def _send_frames(self) -> None:
         loop = asyncio.get_running_loop()
@@ -211,11 +230,13 @@
                 self.close()
                 return
             self._count_bytes(items, len(frame))
+            self._is_sending = True
             try:
                 await self._channel.send(frame)
             except OSError:
                 self.close()
                 return
+            self._is_sending = False
             del self._outgoing[: len(items)]
             if not self._outgoing:
                 self._has_outgoing.clear()
@@ -328,24 +349,10 @@
     Returns:
         False if a peer does not have all, and its link was not lost.
     """
-    until_s = loop_time() + timeout_s
-    arrived = await asyncio.gather(*(_flush_until(link, until_s) for link in links))
-    left_s = min(END_TIMEOUT_S, until_s - loop_time())
-    ended = [link for link, has_arrived in zip(links, arrived) if has_arrived]
-    await asyncio.gather(*(link.end(left_s) for link in ended))
-    for link in links:
-        link.close()
+    arrived = await asyncio.gather(*(link.finish(timeout_s) for link in links))
     return all(arrived)
 
 
-async def _flush_until(link: Link, until_s: float) -> bool:
-    try:
-        async with asyncio.timeout_at(until_s):
-            return await link.flush()
-    except TimeoutError:
-        return False
-
-
 def _is_encodable(item: FrameItem) -> bool:
     """Returns whether a message of no stream can be encoded; logs one that cannot."""
     if item.stream_id:
--- a/wasabimux/ports.py
+++ b/wasabimux/ports.py
@@ -31,8 +31,11 @@
             False if that time was over.
         """
 
-    def end(self) -> None:
-        """Tells the peer that no frame follows; it closes the connection."""
+    async def end(self, stall_timeout_s: float) -> bool:
+        """Tells the peer that no frame follows; it closes the connection then.
+
+        Waits and returns as `flush` does.
+        """
 
     def close(self) -> None:
         """Closes the connection immediately."""
--- a/wasabimux/relay/process.py
+++ b/wasabimux/relay/process.py
@@ -125,9 +125,8 @@
         ends_s = loop_time() + settings.grace_s * GRACE_FRACTION
         relay.begin_shutdown(ends_s - ANSWER_MARGIN_S)
         http_server.begin_drain()
-        await relay.mesh.announce_shutdown()
         accept_s = min(ACCEPT_AFTER_TERM_S, settings.grace_s / 3)
-        await asyncio.sleep(accept_s)
+        await asyncio.gather(relay.mesh.announce_shutdown(), asyncio.sleep(accept_s))
         drained = await http_server.drain(ends_s - loop_time())
         if not drained:
             http_server.close()
