--- a/tests/test_duties_at_stop.py
+++ b/tests/test_duties_at_stop.py
@@ -170,6 +170,21 @@
         assert not owner._grants._grant_by_id
 
 
+async def test_relay_with_a_stream_that_does_not_end_stops_within_the_grace() -> None:
+    async with relay_cluster(relays=2) as cluster:
+        for name in ("dec-1", "dec-2", "dec-3"):
+            cluster.runners[name].faults.stall_after_events = 2
+        response = await cluster.request("/gen/1", wasabimux_token_count=TOKEN_COUNTS)
+        reading = asyncio.ensure_future(response.body())
+        started_s = loop_time()
+        await stop(cluster)
+        assert loop_time() - started_s < GRACE_S
+        await asyncio.wait({reading})
+        assert reading.exception() is not None
+        usage = cluster.relays[1].relay.mesh.others
+        assert not any(load.running for load in usage.load_by_upstream.values())
+
+
 @contextlib.asynccontextmanager
 async def held_peer(cluster: RelayCluster) -> AsyncGenerator[SlowChannel, None]:
     """Links a peer to the first relay, which reads nothing from then on."""
--- a/wasabimux/relay/process.py
+++ b/wasabimux/relay/process.py
@@ -40,7 +40,7 @@
 GRACE_FRACTION = 0.92
 
 #: Fraction of the grace time that is left at least for what the relay owes to others.
-SETTLE_FRACTION = 0.03
+SETTLE_FRACTION = 0.025
 
 #: Longest time in s for which answers to operators and load balancers are awaited.
 OPERATORS_DRAIN_S = 0.5
@@ -128,9 +128,12 @@
         accept_s = min(ACCEPT_AFTER_TERM_S, settings.grace_s / 3)
         await asyncio.gather(relay.mesh.announce_shutdown(), asyncio.sleep(accept_s))
         drained = await http_server.drain(ends_s - loop_time())
+        least_s = settings.grace_s * SETTLE_FRACTION
         if not drained:
             http_server.close()
-        least_s = settings.grace_s * SETTLE_FRACTION
+            await http_server.drain(
+                least_s
+            )  # until the requests that it cut have ended
         left_s = max(least_s, ends_s - loop_time())
         operators_s = min(left_s, OPERATORS_DRAIN_S)
         await asyncio.gather(
