--- /dev/null
+++ b/tests/test_review_of_ends.py
@@ -0,0 +1,190 @@
+"""Ends of connections, links and processes that lose what was accepted."""
+
+from __future__ import annotations
+
+import asyncio
+import http.client
+import socket
+from collections.abc import AsyncGenerator
+
+import pytest
+
+from tests.relay_fixtures import relay_cluster
+from tests.stopping_process import BUFFER_BYTES, READ_BYTES, READ_PAUSE_S
+from wasabimux.adapters.http_server import (
+    LINGER_RESET,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+from wasabimux.ids import UpstreamId
+from wasabimux.link.channels import connect_tcp
+from wasabimux.link.link import Link, LinkCallbacks
+from wasabimux.link.messages import Hello
+from wasabimux.relay.context import RelayRequest
+from wasabimux.timeline import HybridClock
+
+REQUEST = b"GET /%s HTTP/1.1\r\nhost: a\r\n\r\n"
+ANSWER_BYTES = 120_000
+
+#: Body that is over its limit, and that no socket buffer holds, in bytes.
+MAX_BODY_BYTES = 100_000
+BODY_BYTES = 16 * 1024 * 1024
+
+IDLE_TIMEOUT_S = 0.3
+DRAIN_TIMEOUT_S = 5.0
+WORK_S = 0.05
+
+
+async def respond(request: HttpRequest) -> HttpResponse:
+    """Answers by path: with a large body, a stream that fails, or a small body."""
+    if request.path == "/large":
+        return HttpResponse(200, body=b"x" * ANSWER_BYTES)
+    if request.path == "/medium":
+        return HttpResponse(200, body=b"x" * (ANSWER_BYTES // 2))
+    if request.path == "/broken":
+        return HttpResponse(200, body=_fail())
+    await request.body()
+    await asyncio.sleep(WORK_S)
+    return HttpResponse(200, body=b"small")
+
+
+async def _fail() -> AsyncGenerator[bytes, None]:
+    yield b"first"
+    await asyncio.sleep(WORK_S)
+    raise OSError("the upstream was lost")
+
+
+async def listen(server: HttpServer) -> int:
+    """Listens with a small send buffer, as on a long way to the client."""
+    _, port = await server.listen("127.0.0.1", 0)
+    assert server._server is not None
+    for listener in server._server.sockets:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+    return port
+
+
+async def connect(port: int) -> socket.socket:
+    """Returns a connection with a small receive buffer."""
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    connection.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(connection, ("127.0.0.1", port))
+    return connection
+
+
+async def read_slowly(connection: socket.socket, until_bytes: int) -> bytes:
+    """Reads in small pieces until a body of so many bytes, or the end, has come."""
+    received = bytearray()
+    while received.count(b"x") < until_bytes:
+        try:
+            data = await asyncio.get_running_loop().sock_recv(connection, READ_BYTES)
+        except ConnectionError:
+            break
+        if not data:
+            break
+        received += data
+        await asyncio.sleep(READ_PAUSE_S)
+    return bytes(received)
+
+
+async def test_idle_timeout_waits_for_a_client_that_still_reads_its_answer() -> None:
+    """Guards against: the next request was read and dropped, with no answer."""
+    limits = HttpLimits(idle_timeout_s=IDLE_TIMEOUT_S)
+    async with HttpServer(respond, limits) as server:
+        connection = await connect(await listen(server))
+        connection.sendall(REQUEST % b"large")
+        answer = await read_slowly(connection, ANSWER_BYTES)
+        assert answer.count(b"x") == ANSWER_BYTES
+        assert b"connection: close" not in answer.lower()
+        connection.sendall(REQUEST % b"small")
+        assert b"small" in await read_slowly(connection, 1)
+        connection.close()
+
+
+async def test_client_that_always_sends_ahead_is_told_of_the_end_in_a_drain() -> None:
+    """Guards against: it was never told, held the stop, and was cut at its end."""
+    async with HttpServer(respond) as server:
+        port = await listen(server)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(REQUEST % b"small" * 2)
+        draining = asyncio.ensure_future(server.drain(DRAIN_TIMEOUT_S))
+        try:
+            while not draining.done():
+                head = await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(len(b"small"))
+                if b"connection: close" in head.lower():
+                    break
+                writer.write(REQUEST % b"small")
+            assert await draining
+        finally:
+            writer.close()
+
+
+async def test_answer_to_a_body_over_its_limit_reaches_a_client_that_sends_first() -> (
+    None
+):
+    """Guards against: the close reset the connection, and the client lost the 413."""
+
+    def post(port: int) -> int:
+        connection = http.client.HTTPConnection("127.0.0.1", port)
+        connection.request("POST", "/small", body=b"x" * BODY_BYTES)
+        return connection.getresponse().status
+
+    limits = HttpLimits(max_body_bytes=MAX_BODY_BYTES)
+    async with HttpServer(respond, limits) as server:
+        port = await listen(server)
+        assert await asyncio.to_thread(post, port) == 413
+
+
+async def test_answer_before_one_that_is_cut_arrives_whole() -> None:
+    """Guards against: the cut of the second answer discarded the unread first one."""
+    async with HttpServer(respond) as server:
+        connection = await connect(await listen(server))
+        connection.sendall(REQUEST % b"medium" + REQUEST % b"broken")
+        answer = await read_slowly(connection, ANSWER_BYTES)
+        connection.close()
+    assert answer.count(b"x") == ANSWER_BYTES // 2
+
+
+async def test_link_that_its_peer_resets_ends_without_an_error() -> None:
+    """Guards against: the error ended the drain of the process before its time."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        channel = await connect_tcp(*listener.getsockname())
+        peer, _ = listener.accept()
+        hello = Hello("relay", "relay-1", 1)
+        link = Link(channel, hello, HybridClock(), LinkCallbacks(), initiator=True)
+        with link:
+            link.start()
+            assert await link.flush()
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            peer.close()  # the event loop has not noticed yet
+            await link.end(1.0)
+            assert link.closed.is_set()
+
+
+async def test_what_a_request_frees_as_the_end_of_a_stop_cuts_it_is_freed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against: what was owed counted as settled before requests were cut."""
+    async with relay_cluster() as cluster:
+        relay = cluster.relays[0].relay
+        handles = cluster.runners["pre-1"].state.kv_cache_handles
+        handles.add("late")
+
+        async def serve(request: RelayRequest) -> HttpResponse:
+            try:
+                return await asyncio.Event().wait()  # type: ignore[return-value]
+            finally:
+                engine = relay.pool.by_id[UpstreamId("pre-1")]
+                relay.slots.free_kv_cache(engine, "late")
+
+        monkeypatch.setattr(relay, "_serve", serve)
+        request = asyncio.ensure_future(cluster.request("/gen/1"))
+        await asyncio.sleep(4 * WORK_S)
+        assert not await cluster.relays[0].drain()
+        await cluster.runs[0].aclose()
+        await asyncio.wait({request})
+        assert request.exception() is not None
+        assert "late" not in handles
