--- a/tests/test_review_of_ends.py
+++ b/tests/test_review_of_ends.py
@@ -17,7 +17,9 @@
     HttpRequest,
     HttpResponse,
     HttpServer,
+    ResponseEnd,
 )
+from wasabimux.errors import ErrorCode, refused
 from wasabimux.ids import UpstreamId
 from wasabimux.link.channels import connect_tcp
 from wasabimux.link.link import Link, LinkCallbacks
@@ -36,6 +38,9 @@
 DRAIN_TIMEOUT_S = 5.0
 WORK_S = 0.05
 
+#: Requests that a client sends ahead.
+AHEAD = 5
+
 
 async def respond(request: HttpRequest) -> HttpResponse:
     """Answers by path: with a large body, a stream that fails, or a small body."""
@@ -188,3 +193,59 @@
         await asyncio.wait({request})
         assert request.exception() is not None
         assert "late" not in handles
+
+
+async def test_answer_that_its_deadline_cuts_does_not_count_as_left_by_its_client() -> (
+    None
+):
+    """Guards against: the log said that the client was gone, as for one that left."""
+    ends: list[ResponseEnd] = []
+
+    async def stream() -> AsyncGenerator[bytes, None]:
+        try:
+            async with asyncio.timeout(WORK_S):
+                while True:
+                    yield b"x" * ANSWER_BYTES
+        except TimeoutError:
+            raise refused(ErrorCode.DEADLINE, "too late")
+
+    async def respond_late(request: HttpRequest) -> HttpResponse:
+        return HttpResponse(200, body=stream(), on_done=ends.append)
+
+    async with HttpServer(respond_late) as server:
+        connection = await connect(await listen(server))
+        connection.sendall(REQUEST % b"late")
+        await asyncio.sleep(4 * WORK_S)
+        assert len(ends) == 1
+        assert ends[0] is not ResponseEnd.CLIENT_GONE
+        connection.close()
+
+
+async def test_answers_survive_requests_that_cross_the_close_behind_them() -> None:
+    """Guards against: the close reset what the client had received and not read."""
+    async with HttpServer(respond) as server:
+        port = await listen(server)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        server.begin_drain()
+        writer.write(REQUEST % b"small" * AHEAD)
+        await asyncio.sleep((AHEAD + 2) * WORK_S)
+        for _ in range(2):
+            writer.write(REQUEST % b"small")
+            await asyncio.sleep(WORK_S)
+        answers = await reader.read()
+        writer.close()
+    assert answers.count(b"\r\n\r\nsmall") == AHEAD
+
+
+async def test_request_behind_one_with_head_is_answered() -> None:
+    """Guards against: an answer to HEAD with a body failed and ended the connection."""
+    async with HttpServer(respond) as server:
+        port = await listen(server)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        head = (REQUEST % b"small").replace(b"GET", b"HEAD")
+        close = (REQUEST % b"small").replace(b"host", b"connection: close\r\nhost")
+        writer.write(head + close)
+        answers = await reader.read()
+        writer.close()
+    assert answers.count(b"HTTP/1.1 200") == 2
+    assert answers.count(b"\r\n\r\nsmall") == 1
