--- a/tests/test_review_of_ends.py
+++ b/tests/test_review_of_ends.py
@@ -41,6 +41,9 @@
 #: Requests that a client sends ahead.
 AHEAD = 5
 
+#: Answer that counts as written while most of it is held, in bytes.
+UNREAD_BYTES = 28_000
+
 
 async def respond(request: HttpRequest) -> HttpResponse:
     """Answers by path: with a large body, a stream that fails, or a small body."""
@@ -249,3 +252,24 @@
         writer.close()
     assert answers.count(b"HTTP/1.1 200") == 2
     assert answers.count(b"\r\n\r\nsmall") == 1
+
+
+async def test_answer_that_is_lost_with_its_connection_is_named_in_the_log(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against: no line told it from an answer that had arrived."""
+    ends: list[ResponseEnd] = []
+
+    async def respond_named(request: HttpRequest) -> HttpResponse:
+        body = b"x" * UNREAD_BYTES
+        return HttpResponse(200, body=body, on_done=ends.append, request_id="r-1")
+
+    async with HttpServer(respond_named) as server:
+        connection = await connect(await listen(server))
+        connection.sendall(REQUEST % b"named")
+        await asyncio.sleep(2 * WORK_S)
+        assert ends == [ResponseEnd.COMPLETE]
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        connection.close()
+        await asyncio.sleep(2 * WORK_S)
+    assert "answer_undelivered request_id=r-1" in caplog.text
