--- a/tests/test_review_of_ends.py
+++ b/tests/test_review_of_ends.py
@@ -168,7 +168,7 @@
             assert await link.flush()
             peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
             peer.close()  # the event loop has not noticed yet
-            await link.end(1.0)
+            await link.finish(1.0)
             assert link.closed.is_set()
 
 
--- a/wasabimux/adapters/delivery.py
+++ b/wasabimux/adapters/delivery.py
@@ -69,6 +69,21 @@
         await asyncio.wait({dropping})
 
 
+async def linger(reader: asyncio.StreamReader, timeout_s: float) -> None:
+    """Drops what a peer sends until it closes its sending side, for a bounded time.
+
+    A close before that would reset the connection, which may cost the peer what it has
+    not read. The caller closes the connection.
+
+    Args:
+        reader: Reader of the connection, which nobody else reads.
+        timeout_s: Longest time in s that it takes.
+    """
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(timeout_s):
+            await _drop_received(reader)
+
+
 async def wait_until_delivered(
     count_outstanding: Callable[[], int], stall_timeout_s: float
 ) -> bool:
--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -19,7 +19,7 @@
 import h11
 
 from wasabimux._clock import loop_time
-from wasabimux.adapters.delivery import deliver, undelivered_bytes
+from wasabimux.adapters.delivery import deliver, linger, undelivered_bytes
 from wasabimux.adapters.http_client import has_unread_data, is_readable
 from wasabimux.adapters.http_receiver import READ_BYTES, HttpReceiver
 from wasabimux.adapters.memory_ledger import HeldBytes, process_ledger
@@ -49,6 +49,13 @@
 #: Interval in s at which a drain looks for connections that have become idle.
 DRAIN_CHECK_INTERVAL_S = 0.02
 
+#: Longest time in s for which a connection whose client has all, and was told of the end,
+#: waits until the client closes it.
+LINGER_S = 2.0
+
+#: Most responses on one connection in a drain; others are for requests sent ahead.
+MAX_RESPONSES_IN_DRAIN = 50
+
 #: Time in s after which a connection without a request is closed before a drain, if its
 #: client was not told of the stop. Its next request then goes to another process.
 UNTOLD_IDLE_S = 0.1
@@ -273,7 +280,7 @@
             await _accept_waiting(self._server)
             self._server.close()
         deadline_s = loop_time() + timeout_s
-        while self._connections:
+        while not all(connection.delivered for connection in self._connections):
             if loop_time() > deadline_s:
                 return False
             for connection in self._connections:
@@ -324,6 +331,8 @@
         try:
             await connection.serve()
             await connection.deliver()
+        except ConnectionError:
+            connection.log_reset()
         except (OSError, TimeoutError, asyncio.CancelledError):
             pass  # the client disconnected, or the process is stopping
         except RefusedError:
@@ -338,7 +347,8 @@
     """Connection from a client.
 
     Attributes:
-        delivering: True once it only waits for its client to have all.
+        delivering: True while it only waits for its client to have all.
+        delivered: True once its client has all, and it only waits for its close.
         waits_since_s: Loop time in s since which no request runs on it.
     """
 
@@ -360,8 +370,12 @@
         self._busy = False
         self._aborted: ResponseEnd | None = None
         self._written_request_id = ""
+        self._responses_in_drain = 0
+        self._is_client_gone = False
+        self._is_head = False
         self._idle_wait: asyncio.Timeout | None = None
         self.delivering = False
+        self.delivered = False
         self.waits_since_s = loop_time()
         self._held = HeldBytes(process_ledger())
         self._expects_continue = False
@@ -389,7 +403,9 @@
         return self._busy
 
     def is_idle(self) -> bool:
-        """Returns whether it waits for a request, none has begun, and all is read."""
+        """Returns whether no request has begun and its client has all."""
+        if self.delivered:
+            return True
         return (
             self._idle_wait is not None
             and not undelivered_bytes(self._writer)
@@ -405,15 +421,20 @@
     async def deliver(self) -> None:
         """Waits until all that was written has reached the client.
 
-        If it has, nothing more is read: to a client that sends another request as the
-        connection is closed, the reset shows that it was not read.
+        Nothing is read from a client that has all and was not told of the end: if it
+        sends another request, the reset shows that it was not read.
         """
         writer = self._writer
-        if writer.is_closing() or not undelivered_bytes(writer):
+        was_told = self._http.our_state is h11.MUST_CLOSE
+        if writer.is_closing() or not (was_told or undelivered_bytes(writer)):
             return
         self.delivering = True
         if not await deliver(self._reader, writer, WRITE_TIMEOUT_S):
             self.abort(ResponseEnd.UNREAD)
+            return
+        self.delivering, self.delivered = False, True
+        if was_told:
+            await linger(self._reader, LINGER_S)
 
     def _has_request_begun(self) -> bool:
         """Returns whether data waits to be read, in this process or in the socket."""
@@ -437,21 +458,26 @@
             end: How this ends a response that is being written.
         """
         self._aborted = self._aborted or end
-        if self._written_request_id:
-            self._log_undelivered()
+        undelivered = undelivered_bytes(self._writer)
+        if self._written_request_id and undelivered:
+            self._log_undelivered(undelivered)
         if self._http.their_http_version == HTTP_1_0:
             _reset_on_close(self._writer)
         self._writer.transport.abort()
 
-    def _log_undelivered(self) -> None:
-        """Logs how much of a response that was written does not reach its client."""
-        undelivered = undelivered_bytes(self._writer)
-        left_out = self._server.sampler.admit(loop_time()) if undelivered else None
+    def log_reset(self) -> None:
+        """Logs that the client may lack a part of a response that was written."""
+        if self._written_request_id and not self._aborted:
+            self._log_undelivered("unknown")
+
+    def _log_undelivered(self, size: int | str) -> None:
+        """Logs how many bytes of a response that was written are lost."""
+        left_out = self._server.sampler.admit(loop_time())
         if left_out is not None:
             logger.warning(
-                "event=answer_undelivered request_id=%s bytes=%d left_out=%d",
+                "event=answer_undelivered request_id=%s bytes=%s left_out=%d",
                 self._written_request_id,
-                undelivered,
+                size,
                 left_out,
             )
 
@@ -486,6 +512,7 @@
         if refusal is not None:
             await self._write_response(refusal_response(refusal), close=True)
             return None
+        self._is_head = event.method == b"HEAD"
         self._body_read.clear()
         if not _has_body(headers):
             await self._read_body()
@@ -511,19 +538,25 @@
     async def _await_request(self) -> bytes:
         """Returns the first bytes of the next request, empty at the end of data.
 
+        A client that still reads the last response is not idle.
+
         Raises:
             TimeoutError: None came within the idle timeout, or the server drains.
         """
-        idle_timeout_s = self._server.limits.idle_timeout_s
-        try:
-            async with asyncio.timeout(idle_timeout_s) as self._idle_wait:
-                return await self._reader.read(READ_BYTES)
-        except TimeoutError:
-            if not self._has_request_begun():
-                raise
-            return await self._reader.read(READ_BYTES)  # it came with the timeout
-        finally:
-            self._idle_wait = None
+        undelivered = None
+        while True:
+            try:
+                idle_timeout_s = self._server.limits.idle_timeout_s
+                async with asyncio.timeout(idle_timeout_s) as self._idle_wait:
+                    return await self._reader.read(READ_BYTES)
+            except TimeoutError:
+                if self._has_request_begun():  # it came with the timeout
+                    return await self._reader.read(READ_BYTES)
+                before, undelivered = undelivered, undelivered_bytes(self._writer)
+                if not undelivered or undelivered == before:
+                    raise
+            finally:
+                self._idle_wait = None
 
     async def _read_body(self) -> bytes:
         if self._body_read.is_set():
@@ -587,18 +620,31 @@
                 {handling, disconnect}, return_when=asyncio.FIRST_COMPLETED
             )
             if not handling.done():
+                self._is_client_gone = True
                 handling.cancel()
             await asyncio.wait({handling})
-            if not handling.cancelled() and handling.exception() is not None:
-                self.abort()
-                raise handling.exception() or OSError()
             if handling.cancelled():
                 self.abort()
+            elif (error := handling.exception()) is not None:
+                disconnect.cancel()
+                await asyncio.wait({disconnect})
+                await self._cut(error)
+                raise error
         finally:
             disconnect.cancel()
             handling.cancel()
             await asyncio.wait({handling, disconnect})
 
+    async def _cut(self, error: BaseException) -> None:
+        """Ends a response that is not complete, behind what was written before it.
+
+        To a client of HTTP/1.0 only a reset shows that it is not complete.
+        """
+        is_unread = isinstance(error, TimeoutError)
+        if not is_unread and self._http.their_http_version != HTTP_1_0:
+            await self.deliver()
+        self.abort()
+
     async def _wait_for_disconnect(self) -> None:
         """Returns once the client has closed its side of the connection."""
         await self._body_read.wait()
@@ -638,9 +684,14 @@
         except TimeoutError:
             end = ResponseEnd.UNREAD
             raise
-        except (OSError, asyncio.CancelledError):
+        except OSError:
             end = self._aborted or ResponseEnd.CLIENT_GONE
             raise
+        except asyncio.CancelledError:
+            end = self._aborted or end
+            if self._is_client_gone:
+                end = self._aborted or ResponseEnd.CLIENT_GONE
+            raise
         finally:
             if response.on_done is not None:
                 response.on_done(end)
@@ -651,11 +702,13 @@
             headers.append((b"content-length", str(len(response.body)).encode()))
         elif response.length is not None:
             headers.append((b"content-length", str(response.length).encode()))
-        if close or self._server.draining and not self._has_request_begun():
+        if close or self._is_last_response():
             headers.append((b"connection", b"close"))
         head = h11.Response(status_code=response.status, headers=headers)
         self._write(self._http.send(head))
-        if isinstance(response.body, bytes):
+        if self._is_head:
+            await _drop_body(response)
+        elif isinstance(response.body, bytes):
             await self._write_body(response)
         else:
             async with aclosing(response.body) as chunks:
@@ -669,6 +722,14 @@
         self._write(self._http.send(h11.EndOfMessage()))
         await self._flush()
 
+    def _is_last_response(self) -> bool:
+        """Returns whether the client is told that the connection ends."""
+        if not self._server.draining:
+            return False
+        self._responses_in_drain += 1
+        at_most = self._responses_in_drain >= MAX_RESPONSES_IN_DRAIN
+        return at_most or not self._has_request_begun()
+
     async def _write_body(self, response: HttpResponse) -> None:
         """Writes a complete body; a large one as the client reads it."""
         assert isinstance(response.body, bytes)
@@ -703,6 +764,12 @@
             await self._writer.drain()
 
 
+async def _drop_body(response: HttpResponse) -> None:
+    """Drops a body that is not sent."""
+    if not isinstance(response.body, bytes):
+        await response.body.aclose()
+
+
 def _reset_on_close(writer: asyncio.StreamWriter) -> None:
     connection: socket.socket | None = writer.get_extra_info("socket")
     if connection is not None and connection.fileno() >= 0:
