--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -49,8 +49,8 @@
 #: Interval in s at which a drain looks for connections that have become idle.
 DRAIN_CHECK_INTERVAL_S = 0.02
 
-#: Longest time in s for which a connection whose client has all, and was told of the end,
-#: waits until the client closes it.
+#: Longest time in s for which a connection whose client has all, and was told of the
+#: end, waits until the client closes it.
 LINGER_S = 2.0
 
 #: Most responses on one connection in a drain; others are for requests sent ahead.
