--- a/tests/soak_clients.py
+++ b/tests/soak_clients.py
@@ -6,7 +6,7 @@
 import contextlib
 import random
 import socket
-from collections.abc import AsyncGenerator, Callable, Iterator, Sequence
+from collections.abc import AsyncGenerator, Iterator, Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -446,18 +446,17 @@
 
     async def _send(self, connection: socket.socket, request: Request) -> None:
         """Sends a request, its body slowly if the choice falls so."""
-        send: Callable[..., object] = asyncio.get_running_loop().sock_sendall
-        size = len(request.body) // PIECES
-        slow = self._rng.random() < 0.2
+        loop = asyncio.get_running_loop()
+        pieces = [request.head() + request.body]
+        if self._rng.random() < 0.2:
+            size = len(request.body) // PIECES
+            starts = range(0, len(request.body), size)
+            pieces = [request.body[start : start + size] for start in starts]
+            pieces.insert(0, request.head())
         with contextlib.suppress(ConnectionError):
-            if not slow:
-                await send(connection, request.head() + request.body)  # type: ignore
-            else:
-                await send(connection, request.head())  # type: ignore
-                for start in range(0, len(request.body), size):
-                    piece = request.body[start : start + size]
-                    await send(connection, piece)  # type: ignore
-                    await asyncio.sleep(request.work_s / PIECES)
+            for number, piece in enumerate(pieces):
+                await asyncio.sleep(request.work_s / PIECES if number else 0)
+                await loop.sock_sendall(connection, piece)
             request.sent_s = loop_time()
 
     async def _receive(self, reader: AnswerReader, request: Request) -> bool:
--- a/tests/soak_stops.py
+++ b/tests/soak_stops.py
@@ -435,8 +435,9 @@
 
 def end_of(played: Played, request: Request, works: list[Work]) -> str:
     """Returns how a request ended, for the summary of a seed."""
+    status = request.answer.status
     if request.answer.whole:
-        return str(request.answer.status)
+        return f"{status} and ran" if works and status in PROMISES else str(status)
     if request.left:
         return "left"
     if excuse := excuse_of(played, request, works):
