Soak of stops: clients send the next request while they read an answer

Both clients were behind the test's own proxy, which closed with requests of its client unread, so that its system reset the connection.

--- a/tests/soak_clients.py
+++ b/tests/soak_clients.py
@@ -47,7 +47,7 @@
 
     status: int = 0
     headers: dict[bytes, bytes] = field(default_factory=dict)
-    body: bytearray = field(default_factory=bytearray)
+    body: bytearray = field(default_factory=bytearray, repr=False)
     whole: bool = False
 
     @property
@@ -333,12 +333,11 @@
                     self._pass_requests(reader, connection)
                 )
                 answers = asyncio.ensure_future(self._pass_answers(connection, writer))
-                both = {requests, answers}
-                await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
-                requests.cancel()  # the client has left, or all answers are written
-                if requests.done() and not answers.done():
+                try:  # until the client closes, as a close may destroy what it has not
+                    await requests
+                finally:
                     answers.cancel()
-                await asyncio.wait(both)
+                    await asyncio.wait({answers})
 
     async def _pass_requests(
         self, reader: asyncio.StreamReader, connection: socket.socket
@@ -357,6 +356,8 @@
                 writer.write(data)
                 await writer.drain()
                 await asyncio.sleep(self.PAUSE_S)
+        with contextlib.suppress(OSError):
+            writer.write_eof()
 
 
 class SoakClient:
@@ -412,13 +413,14 @@
         while loop_time() < self._ends_s:
             batch = self._draw_batch(relay)
             self.requests += batch
-            for request in batch:
-                await self._send(connection, request)
+            sending = asyncio.ensure_future(self._send_batch(connection, batch))
             for request in batch:
                 if not await self._receive(reader, request):
+                    sending.cancel()
                     self._end(batch)
                     await asyncio.sleep(0 if request.answer.whole else RETRY_S)
                     return
+            await sending
             self.stray_bytes += bytes(reader.data)
             await asyncio.sleep(self._rng.choice([0, 0, 0.1, 0.3, 0.8]))
 
@@ -444,6 +446,15 @@
             leaves_after_s=rng.uniform(0, 1.5) if rng.random() < 0.1 else None,
         )
 
+    async def _send_batch(
+        self, connection: socket.socket, batch: list[Request]
+    ) -> None:
+        """Sends requests at once, or while answers to earlier ones are read."""
+        pause_s = self._rng.choice([0, 0.2, 0.5])
+        for number, request in enumerate(batch):
+            await asyncio.sleep(pause_s if number else 0)
+            await self._send(connection, request)
+
     async def _send(self, connection: socket.socket, request: Request) -> None:
         """Sends a request, its body slowly if the choice falls so."""
         loop = asyncio.get_running_loop()
