Write the log of each role so that its output holds no process

Cause: entry, agent and embedded program wrote their lines on the event loop. A relay's lines go through LogWriter, but at the end of a process the interpreter itself writes errors of objects that it frees ("Exception ignored in") to standard error, and waits there.

Why it works: one bounded writer, LogWriter, for every role, on standard error or output as before. It writes to the file number, so that no buffer of the interpreter keeps lines, and it counts lines that the output refuses. Errors of freed objects are logged (error_ignored), and a daemon that has drained ends at once.

--- a/tests/test_log_at_stop.py
+++ b/tests/test_log_at_stop.py
@@ -10,7 +10,7 @@
 import time
 from pathlib import Path
 
-from wasabimux.adapters.log_writer import LogWriter, install_log_writer
+from wasabimux.adapters.log_writer import written_logs
 
 #: Longest time in s until a process has ended whose log nobody reads.
 MAX_EXIT_S = 5.0
@@ -22,8 +22,7 @@
 
 def log_and_exit() -> None:
     """Logs at once, and ends as the daemon does."""
-    with LogWriter() as writer:
-        install_log_writer(writer)
+    with written_logs(sys.stdout):
         for number in range(LINES):
             logging.info(LINE, number)
     logging.shutdown()
--- a/wasabimux/adapters/log_writer.py
+++ b/wasabimux/adapters/log_writer.py
@@ -1,4 +1,4 @@
-"""Log handler that writes to standard output without blocking the event loop."""
+"""Log handler that writes to an output without blocking the event loop."""
 
 from __future__ import annotations
 
@@ -7,10 +7,14 @@
 import math
 import os
 import select
+import sys
 import threading
 import time
 from collections import deque
+from collections.abc import Generator
+from contextlib import contextmanager
 from types import TracebackType
+from typing import TextIO
 
 #: Maximum number of queued lines; further lines are dropped and counted.
 MAX_QUEUED_LINES = 5_000
@@ -28,23 +32,29 @@
 #: Time in s between checks of whether the process ends, while nobody reads the lines.
 WRITE_CHECK_INTERVAL_S = 0.1
 
-STDOUT = 1
 STDERR = 2
 
 LINE_FORMAT = "time=%(asctime)s.%(msecs)03dZ level=%(levelname)s %(message)s"
 TIME_FORMAT = "%Y-%m-%dT%H:%M:%S"
 
+logger = logging.getLogger("wasabimux")
+
 
 class LogWriter(logging.Handler):
     """Log handler with a bounded queue and a writer thread.
 
-    If the reader of standard output stops reading, only the writer thread waits; lines
-    are then dropped and counted. Use as a context manager: on exit it writes the queued
+    If the reader of the output stops reading, only the writer thread waits; lines are
+    then dropped and counted. Use as a context manager: on exit it writes the queued
     lines for up to CLOSE_TIMEOUT_S, and names those that remain on standard error.
+
+    Args:
+        output: Standard output or standard error. Its buffer is passed by, so that it
+            keeps nothing that is not taken.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, output: TextIO) -> None:
         super().__init__()
+        self._file_number = output.fileno()
         formatter = logging.Formatter(LINE_FORMAT, TIME_FORMAT)
         formatter.converter = time.gmtime
         self.setFormatter(formatter)
@@ -131,7 +141,7 @@
         left = memoryview(data)
         try:
             while left and self._wait_until_writable():
-                left = left[os.write(STDOUT, left[: select.PIPE_BUF]) :]
+                left = left[os.write(self._file_number, left[: select.PIPE_BUF]) :]
         except OSError:
             pass  # nobody can read it any more
         return len(left)
@@ -139,7 +149,7 @@
     def _wait_until_writable(self) -> bool:
         """Returns whether PIPE_BUF bytes can be written before the writer closes."""
         while True:
-            if select.select([], [STDOUT], [], WRITE_CHECK_INTERVAL_S)[1]:
+            if select.select([], [self._file_number], [], WRITE_CHECK_INTERVAL_S)[1]:
                 return True
             if time.monotonic() >= self._closes_s:
                 return False
@@ -152,6 +162,25 @@
             os.write(descriptor, data)
 
 
-def install_log_writer(writer: LogWriter, level: str = "INFO") -> None:
-    """Sends all log lines of the process to a log writer."""
-    logging.basicConfig(level=level, handlers=[writer], force=True)
+@contextmanager
+def written_logs(
+    output: TextIO, level: str = "INFO"
+) -> Generator[LogWriter, None, None]:
+    """Writes all log lines of the process to an output until the context exits.
+
+    Errors that the interpreter would write to standard error itself are logged too.
+
+    Args:
+        output: Standard output or standard error.
+        level: Least level of a line that is written.
+    """
+    with LogWriter(output) as writer:
+        logging.basicConfig(level=level, handlers=[writer], force=True)
+        sys.unraisablehook = _log_unraisable
+        yield writer
+
+
+def _log_unraisable(found: sys.UnraisableHookArgs) -> None:
+    logger.error(
+        "event=error_ignored object=%r error=%r", found.object, found.exc_value
+    )
--- a/wasabimux/cli/daemon.py
+++ b/wasabimux/cli/daemon.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import logging
 import os
 import random
 import sys
@@ -45,15 +44,14 @@
     Args:
         settings: JSON file with the settings of the process.
     """
+    from wasabimux.adapters.log_writer import written_logs
     from wasabimux.runtime import (
-        configure_logging,
         create_platform_client,
         run_entry,
         wait_for_stop_signal,
     )
     from wasabimux.settings.process import EntrySettings
 
-    configure_logging()
     checked_settings = _settings_or_exit(
         read_document(EntrySettings, settings), settings
     )
@@ -66,7 +64,9 @@
             await wait_for_stop_signal()
             return await running.drain()
 
-    _exit_after_drain(asyncio.run(run()))
+    with written_logs(sys.stderr):
+        drained = asyncio.run(run())
+    _exit_after_drain(drained)
 
 
 @app.command
@@ -78,10 +78,10 @@
     Args:
         settings: JSON file with the settings of the process.
     """
-    from wasabimux.runtime import configure_logging, run_agent, wait_for_stop_signal
+    from wasabimux.adapters.log_writer import written_logs
+    from wasabimux.runtime import run_agent, wait_for_stop_signal
     from wasabimux.settings.process import AgentSettings
 
-    configure_logging()
     checked_settings = _settings_or_exit(
         read_document(AgentSettings, settings), settings
     )
@@ -91,7 +91,9 @@
             await wait_for_stop_signal()
             return await running.drain()
 
-    _exit_after_drain(asyncio.run(run()))
+    with written_logs(sys.stderr):
+        drained = asyncio.run(run())
+    _exit_after_drain(drained)
 
 
 @app.command
@@ -104,7 +106,7 @@
         settings: JSON file with the settings of the process. Default: the file named by
             the environment variable WASABIMUX_BOOT.
     """
-    from wasabimux.adapters.log_writer import LogWriter, install_log_writer
+    from wasabimux.adapters.log_writer import LogWriter, written_logs
     from wasabimux.platform.relay_platform import relay_platform
     from wasabimux.relay.process import (
         run_relay,
@@ -128,8 +130,7 @@
             await wait_for_shutdown_signal(signals, path, running.timeline)
             return await running.drain()
 
-    with LogWriter() as writer:
-        install_log_writer(writer)
+    with written_logs(sys.stdout) as writer:
         drained = asyncio.run(run(writer))
     _exit_after_drain(drained)
 
@@ -152,11 +153,11 @@
         admin_port: Port for operators on 127.0.0.1.
         platform_port: Port of the platform's API on 127.0.0.1.
     """
-    from wasabimux.runtime import configure_logging, wait_for_stop_signal
+    from wasabimux.adapters.log_writer import written_logs
+    from wasabimux.runtime import wait_for_stop_signal
     from wasabimux.settings.check import check_fleet
     from wasabimux.standins.embedded import run_embedded
 
-    configure_logging("WARNING")
     document = json.loads(fleet.read_bytes())
     checked_settings = _settings_or_exit(check_fleet(document), fleet)
 
@@ -175,7 +176,9 @@
             await wait_for_stop_signal()
             return await running.drain()
 
-    _exit_after_drain(asyncio.run(run()))
+    with written_logs(sys.stderr, "WARNING"):
+        drained = asyncio.run(run())
+    _exit_after_drain(drained)
 
 
 async def _wait_until_ready(running: EmbeddedFleet, fleet: FleetSettings) -> None:
@@ -215,8 +218,8 @@
 
 
 def _exit_after_drain(drained: bool) -> NoReturn:
-    logging.shutdown()
-    sys.exit(0 if drained else EXIT_FAILURE)
+    """Ends the process at once: its output may take nothing more."""
+    os._exit(0 if drained else EXIT_FAILURE)
 
 
 def main() -> None:
--- a/wasabimux/runtime.py
+++ b/wasabimux/runtime.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import os
 import random
 import signal
@@ -226,15 +225,6 @@
     await stop.wait()
 
 
-def configure_logging(level: str = "INFO") -> None:
-    """Makes the root logger write lines of key=value pairs to standard error."""
-    logging.basicConfig(
-        level=level,
-        format="time=%(asctime)s.%(msecs)03dZ level=%(levelname)s %(message)s",
-        datefmt="%Y-%m-%dT%H:%M:%S",
-    )
-
-
 def read_secret(variable: str | None) -> str | None:
     """Reads a secret from an environment variable.
 
--- a/wasabimux/standins/__main__.py
+++ b/wasabimux/standins/__main__.py
@@ -6,14 +6,16 @@
 import json
 import os
 import shlex
+import sys
 from pathlib import Path
 
 from cyclopts import App
 
 from wasabimux.adapters.http_server import Handler, HttpServer
+from wasabimux.adapters.log_writer import written_logs
 from wasabimux.entry.feed import SETTINGS_KIND, SETTINGS_NAME
 from wasabimux.ports import InstanceRecord
-from wasabimux.runtime import configure_logging, wait_for_stop_signal
+from wasabimux.runtime import wait_for_stop_signal
 from wasabimux.settings.address import parse_address
 from wasabimux.settings.check import check_fleet
 from wasabimux.standins.engine import EngineModel, EngineParameters
@@ -120,10 +122,10 @@
 
 
 async def _serve(handler: Handler, listen: str) -> None:
-    configure_logging("WARNING")
-    async with HttpServer(handler) as server:
-        await server.listen(*parse_address(listen))
-        await wait_for_stop_signal()
+    with written_logs(sys.stderr, "WARNING"):
+        async with HttpServer(handler) as server:
+            await server.listen(*parse_address(listen))
+            await wait_for_stop_signal()
 
 
 if __name__ == "__main__":
