Keep no body of an answer that says nothing by it

What callers saw, in the worst case: a faulty upstream that sends up to 8 MB of a body and then stalls makes a relay keep that for each request that waits there: answers of other requests that are skipped, refusals, prefills and control calls. No bound of the process counted them, so many at once could end it.

Cause: bodies of which only the head counts, or that are small documents, were read like those that are passed on, up to MAX_WHOLE_BODY_BYTES, and without the ledger that counts the latter.

Evidence: test_long_answers_that_say_nothing_are_not_kept_together.

Why it works: skipped answers and refusals are read and dropped piece by piece; prefills and control calls of relays, and an agent's calls of its engine, end above 256 KB. A control call drops an answer of a request before it looks at its size, so a long one is skipped as before.

--- a/tests/test_endless_upstreams.py
+++ b/tests/test_endless_upstreams.py
@@ -52,6 +52,10 @@
 #: Most requests until one takes the path under test.
 MAX_REQUESTS = 10
 
+#: Answers that stall together, and the bytes of each that come before.
+LONG_ANSWERS = 12
+LONG_BODY_BYTES = 7_000_000
+
 #: Size in bytes of one write.
 PART_BYTES = 64 * 1024
 
@@ -456,3 +460,46 @@
                 with pytest.raises(UpstreamLost):
                     await upstream.call(call)
             await server.wait_until_left()
+
+
+@pytest.mark.parametrize("name", ["skipped-answer", "refusal", "prefill"])
+async def test_long_answers_that_say_nothing_are_not_kept_together(name: str) -> None:
+    """Regression: each held up to 8 MB that no bound of the process counted."""
+    path, sent, begun, bodies = RELAY_PATHS[name], asyncio.Event(), 0, 0
+    body = b"z" * LONG_BODY_BYTES
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal begun, bodies
+        request = await read_request(reader)
+        while not path.is_taken(request):
+            writer.write(served(request))
+            request = await read_request(reader)
+        head = [b"HTTP/1.1 200 OK", *path.lines(request), b"content-length: 8000000"]
+        writer.write(b"\r\n".join(head) + HEAD_END)
+        begun += 1
+        for start in range(0, len(body), PART_BYTES):
+            writer.write(body[start : start + PART_BYTES])
+            await writer.drain()
+        bodies += 1
+        if bodies == LONG_ANSWERS:
+            sent.set()
+        await reader.read()
+
+    async with relay_cluster() as cluster:
+        async with served_in_place(cluster, path.replaced, serve):
+            with bounded_memory():
+                calls = [
+                    asyncio.ensure_future(
+                        cluster.request(
+                            path.target, f"s{number}", wasabimux_token_count="100,60"
+                        )
+                    )
+                    for number in range(LONG_ANSWERS)
+                ]
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(1.0):
+                        await sent.wait()
+                for call in calls:
+                    call.cancel()
+                await asyncio.wait(calls)
+    assert begun > 1
--- a/wasabimux/adapters/engine_client.py
+++ b/wasabimux/adapters/engine_client.py
@@ -8,7 +8,12 @@
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 
-from wasabimux.adapters.http_client import ClientResponse, EchoedHeader, HttpClient
+from wasabimux.adapters.http_client import (
+    MAX_DOCUMENT_BYTES,
+    ClientResponse,
+    EchoedHeader,
+    HttpClient,
+)
 from wasabimux.headers import CALL_ID_HEADER
 from wasabimux.ids import new_request_id
 from wasabimux.json_documents import DocumentError, decode_document
@@ -149,7 +154,7 @@
         UpstreamLost: The response ends early, or nothing can be read from it.
     """
     async with response:
-        body = await response.body()
+        body = await response.body(max_bytes=MAX_DOCUMENT_BYTES)
     if response.status != STATUS_OK:
         raise EngineRefused(response.status, _error_text(body))
     try:
--- a/wasabimux/adapters/http_client.py
+++ b/wasabimux/adapters/http_client.py
@@ -31,6 +31,11 @@
 #: Most bytes of a response body that is read as a whole.
 MAX_WHOLE_BODY_BYTES = 8 * 1024 * 1024
 
+#: Most bytes of the body of a response that is a small document.
+MAX_DOCUMENT_BYTES = 256 * 1024
+
+TOO_LARGE_TEXT = "the response body is too large"
+
 #: TCP keep-alive probes of idle connections, which detect unresponsive peers.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -115,15 +120,20 @@
                     "connection closed before the end of the response", sent=True
                 )
 
-    async def body(self, hold: Callable[[int], bool] = lambda size: True) -> bytes:
+    async def body(
+        self,
+        hold: Callable[[int], bool] = lambda size: True,
+        max_bytes: int = MAX_WHOLE_BODY_BYTES,
+    ) -> bytes:
         """Returns the whole body.
 
         Args:
             hold: Tells whether there is memory for a number of further bytes.
+            max_bytes: Most bytes of the body.
 
         Raises:
             UpstreamLost: The connection ended before the response, there is no memory
-                for the body, or it has more than MAX_WHOLE_BODY_BYTES.
+                for the body, or it is too large.
         """
         body = bytearray()
         try:
@@ -131,12 +141,25 @@
                 if not hold(len(piece)):
                     raise UpstreamLost("no memory for the response body", sent=True)
                 body += piece
-                if len(body) > MAX_WHOLE_BODY_BYTES:
-                    raise UpstreamLost("the response body is too large", sent=True)
+                if len(body) > max_bytes:
+                    raise UpstreamLost(TOO_LARGE_TEXT, sent=True)
             return bytes(body)
         finally:
             body.clear()  # the frames of an error would keep it for long
 
+    async def drop_body(self) -> None:
+        """Reads the whole body and keeps none of it.
+
+        Raises:
+            UpstreamLost: The connection ended before the response, or the body has more
+                than MAX_WHOLE_BODY_BYTES.
+        """
+        size = 0
+        async for piece in self.pieces():
+            size += len(piece)
+            if size > MAX_WHOLE_BODY_BYTES:
+                raise UpstreamLost(TOO_LARGE_TEXT, sent=True)
+
     def is_first(self, name: str | None) -> bool:
         """Returns whether no response on the connection gave a name before.
 
@@ -164,7 +187,7 @@
             UpstreamLost: The connection ended, or sent no response in the limits.
         """
         if not self._complete:
-            await self.body()
+            await self.drop_body()
         head = await self._connection.read_next_response()
         self._closed = True
         return ClientResponse(self._pool, self._connection, head)
--- a/wasabimux/relay/answers.py
+++ b/wasabimux/relay/answers.py
@@ -53,7 +53,7 @@
         async with self.response:
             with contextlib.suppress(UpstreamLost, TimeoutError):
                 async with asyncio.timeout(DRAIN_TIMEOUT_S):
-                    await self.response.body()
+                    await self.response.drop_body()
 
 
 class AnswerReceiver:
--- a/wasabimux/relay/prefill.py
+++ b/wasabimux/relay/prefill.py
@@ -6,6 +6,7 @@
 import random
 
 from wasabimux._clock import loop_time
+from wasabimux.adapters.http_client import MAX_DOCUMENT_BYTES
 from wasabimux.adapters.relay_metrics import RelayMetrics
 from wasabimux.decisions.prefill_choice import choose_prefill_engine
 from wasabimux.decisions.retry_window import ServiceRetryBudgets
@@ -158,7 +159,8 @@
                 request, engine, options._replace(prefill_only=True)
             )
             async with answer.response:
-                return answer, await answer.response.body()
+                body = await answer.response.body(max_bytes=MAX_DOCUMENT_BYTES)
+                return answer, body
 
     def _on_prefilled(
         self, request: RelayRequest, engine: Upstream, took_s: float
--- a/wasabimux/relay/upstreams.py
+++ b/wasabimux/relay/upstreams.py
@@ -10,7 +10,11 @@
 from typing import NamedTuple
 
 from wasabimux._clock import loop_time
-from wasabimux.adapters.http_client import ClientConnection, ClientResponse
+from wasabimux.adapters.http_client import (
+    MAX_DOCUMENT_BYTES,
+    ClientConnection,
+    ClientResponse,
+)
 from wasabimux.decisions.answers import STATUS_MISDIRECTED, ResponseMetadata
 from wasabimux.decisions.memory_forecast import (
     HORIZONS_S,
@@ -365,13 +369,14 @@
                 )
                 while True:
                     async with response:
-                        answer = CallAnswer(response.status, await response.body())
-                        is_foreign = response.has_header(call.identity_header)
-                        name = None if name_in is None else name_in(answer)
-                        if not is_foreign and response.is_first(name):
-                            if name_in is not None and name is None:
-                                response.discard_connection()
-                            return answer
+                        if not response.has_header(call.identity_header):
+                            body = await response.body(max_bytes=MAX_DOCUMENT_BYTES)
+                            answer = CallAnswer(response.status, body)
+                            name = None if name_in is None else name_in(answer)
+                            if response.is_first(name):
+                                if name_in is not None and name is None:
+                                    response.discard_connection()
+                                return answer
                         response = await response.skip()
                         self.on_any_response(response)
         except TimeoutError as error:
