Log what a caller sent behind the request that it left

What operators saw: of whole requests that a caller had sent on one connection before it closed its sending half, the first is named (caller_left), the ones behind it are neither run nor named.

Cause: what is behind a request is kept unparsed while that one is served, and is dropped with the connection.

Evidence: test_requests_behind_the_one_that_a_caller_leaves_are_counted. Before: the log had no such line. After: data_unread names the request that was left and the bytes behind it; none of them reaches a runner.

Why it works: the server says so where it cancels a request whose client has left.

--- a/tests/test_clients_that_leave.py
+++ b/tests/test_clients_that_leave.py
@@ -179,3 +179,23 @@
             assert (await reader.readline()).startswith(b"HTTP/1.1 500")
         writer.close()
     assert "event=handler_failed request_id=r1 target_path=/" in caplog.text
+
+
+async def test_requests_behind_the_one_that_a_caller_leaves_are_counted(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Regression: no line told of requests that were sent on and never read."""
+    first = HEAD.format(path="/safe/1").encode() + b"body"
+    second = first.replace(b"r1", b"r2")
+    async with relay_cluster() as cluster:
+        delay_answers(cluster)
+        reader, writer = await connect(cluster)
+        writer.write(first + second)
+        await asyncio.sleep(0.05)
+        writer.write_eof()
+        assert (await wait_for_outcome(cluster)).name == "caller_left"
+        assert await reader.read() == b""
+        writer.close()
+        runs = [run for runner in cluster.runners.values() for run in runner.runs]
+    assert all(run.request_id == "r1" for run in runs)
+    assert f"event=data_unread request_id=r1 bytes={len(second)}" in caplog.text
--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -622,6 +622,7 @@
             if not handling.done():
                 self._is_client_gone = True
                 handling.cancel()
+                self._log_unread(request)
             await asyncio.wait({handling})
             if handling.cancelled():
                 self.abort()
@@ -645,6 +646,18 @@
             await self.deliver()
         self.abort()
 
+    def _log_unread(self, request: HttpRequest) -> None:
+        """Logs what a client that has left sent behind the request that it left."""
+        size = len(self._http.trailing_data[0])
+        left_out = self._server.sampler.admit(loop_time()) if size else None
+        if left_out is not None:
+            logger.warning(
+                "event=data_unread request_id=%s bytes=%d left_out=%d",
+                request.request_id,
+                size,
+                left_out,
+            )
+
     async def _wait_for_disconnect(self) -> None:
         """Returns once the client has closed its side of the connection."""
         await self._body_read.wait()
