Drop what a broken-off response left on its connection

What held it: a response for which there is no memory breaks off, and its error keeps the connection by its frames until the garbage collector comes round; with it, in no account, went a piece, the buffer of h11 and that of the reader, up to 384 kB, some hundred times in a second. Now a close drops them. Besides, an open connection reads 64 kB at once, not 256 kB, and more only for a large body, for which the ledger then counts its buffers (128 kB of an answer; bodies of requests had 64 kB counted before). Transports of TLS keep their own size.

--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -41,6 +41,9 @@
 CROWD = 40
 LARGE_CROWD = 160
 
+#: Connections of a crowd that asks for more than the machine holds of its first pieces.
+UNREAD_CROWD = 100
+
 #: Limit of the configuration on a body, in bytes.
 MAX_BODY_BYTES = 4_000_000
 
@@ -345,6 +348,17 @@
     await door.bear(lambda n: send_and_stay(address, unread_answers(path, n)), CROWD)
 
 
+async def test_answers_that_wait_for_memory_are_left_to_the_socket(
+    door: Door,
+) -> None:
+    """What upstreams' connections had read of answers grew with the crowd."""
+    address = door.address_by_port["front"]
+    path = ORDINARY_PATH
+    await door.bear(
+        lambda n: send_and_stay(address, unread_answers(path, n)), UNREAD_CROWD
+    )
+
+
 async def test_bytes_that_are_no_link_at_the_port_of_peers(door: Door) -> None:
     address = door.address_by_port["peers"]
     path = ORDINARY_PATH
--- a/wasabimux/adapters/http_client.py
+++ b/wasabimux/adapters/http_client.py
@@ -11,7 +11,7 @@
 
 import h11
 
-from wasabimux.adapters.http_receiver import HttpReceiver
+from wasabimux.adapters.http_receiver import READ_BYTES, HttpReceiver, limit_reads
 from wasabimux.adapters.turns import Turn
 from wasabimux.ports import Headers, UpstreamLost
 
@@ -19,6 +19,11 @@
 MAX_HEAD_BYTES = 32 * 1024
 MAX_IDLE_CONNECTIONS = 64
 
+#: Bytes from which on a response body is large; its connection then reads and buffers
+#: more at once, for which memory is held.
+LARGE_BODY_BYTES = READ_BYTES
+LARGE_BODY_READ_BYTES = 128 * 1024
+
 #: Headers that tell where a body ends; without them it ends with its connection.
 FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
@@ -128,7 +133,8 @@
         """Returns the whole body.
 
         Args:
-            hold: Tells whether there is memory for a number of further bytes.
+            hold: Tells whether there is memory for a number of further bytes, of the
+                body and of what its connection buffers.
             max_bytes: Most bytes of the body.
 
         Raises:
@@ -136,9 +142,16 @@
                 for the body, or it is too large.
         """
         body = bytearray()
+        is_large = False
         try:
             async for piece in self.pieces():
-                if not hold(len(piece)):
+                size = len(piece)
+                if not is_large and len(body) + size > LARGE_BODY_BYTES:
+                    is_large = True
+                    size += LARGE_BODY_READ_BYTES
+                    self._connection.read_large_pieces()
+                if not hold(size):
+                    del piece  # the frames of an error would keep it for long
                     raise UpstreamLost("no memory for the response body", sent=True)
                 body += piece
                 if len(body) > max_bytes:
@@ -366,6 +379,7 @@
         except (OSError, TimeoutError) as error:
             raise UpstreamLost(f"cannot connect: {error}", sent=False) from error
         enable_keepalive(writer)
+        limit_reads(writer.transport, READ_BYTES)
         return cls(reader, writer)
 
     async def send_request(
@@ -430,8 +444,13 @@
         except (OSError, h11.RemoteProtocolError) as error:
             raise UpstreamLost(str(error), sent=True) from error
 
+    def read_large_pieces(self) -> None:
+        """Lets more of the current response be read at once."""
+        limit_reads(self._writer.transport, LARGE_BODY_READ_BYTES)
+
     def start_next_cycle(self) -> bool:
         """Prepares for the next request; returns False if it cannot be reused."""
+        limit_reads(self._writer.transport, READ_BYTES)
         if self._has_skipped:
             return False
         if self._http.trailing_data[0] or self._has_unsent_data():
@@ -471,7 +490,13 @@
         )
 
     def close(self) -> None:
-        """Closes the connection immediately."""
+        """Closes the connection immediately, and drops what was received on it.
+
+        The frames of an error may keep the connection for long.
+        """
+        self._reader._buffer.clear()  # type: ignore[attr-defined]
+        if self._http.trailing_data[0]:
+            self._start_parser()
         for task in (self._idle_watch, self._sending):
             if task is not None:
                 task.cancel()
--- a/wasabimux/adapters/http_receiver.py
+++ b/wasabimux/adapters/http_receiver.py
@@ -11,6 +11,9 @@
 
 READ_BYTES = 64 * 1024
 
+#: Bytes that a transport reads at once unless told otherwise.
+DEFAULT_TRANSPORT_READ_BYTES = 256 * 1024
+
 #: Most fields of one head.
 MAX_FIELDS = 512
 
@@ -126,3 +129,12 @@
                 return
             pieces.append(self._next.data)
         self._next = None
+
+
+def limit_reads(transport: asyncio.BaseTransport, size: int) -> None:
+    """Makes a transport read so many bytes at once at most, if it is one of TCP.
+
+    A reader pauses its transport only after a read, so its buffer is bounded by this.
+    """
+    if hasattr(transport, "max_size"):
+        transport.max_size = size
--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -21,7 +21,12 @@
 from wasabimux._clock import loop_time
 from wasabimux.adapters.delivery import deliver, linger, undelivered_bytes
 from wasabimux.adapters.http_client import has_unread_data, is_readable
-from wasabimux.adapters.http_receiver import READ_BYTES, HttpReceiver
+from wasabimux.adapters.http_receiver import (
+    DEFAULT_TRANSPORT_READ_BYTES,
+    READ_BYTES,
+    HttpReceiver,
+    limit_reads,
+)
 from wasabimux.adapters.memory_ledger import HeldBytes, process_ledger
 from wasabimux.adapters.turns import Turn
 from wasabimux.decisions.log_sampling import LogSampler
@@ -381,6 +386,7 @@
         self._expects_continue = False
         self._body_read = asyncio.Event()
         writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        limit_reads(writer.transport, READ_BYTES)
 
     async def serve(self) -> None:
         """Serves requests until the connection ends."""
@@ -573,6 +579,7 @@
             return bytes(body)
         finally:
             self._held.end_wait = None
+            limit_reads(self._writer.transport, READ_BYTES)
             body.clear()  # the frames of an error would keep it for long
 
     async def _receive_body(self, body: bytearray) -> None:
@@ -599,7 +606,10 @@
                 raise refused(ErrorCode.BAD_REQUEST, str(error))
             if not isinstance(event, h11.Data):
                 return
-            buffers = RECEIVE_BUFFER_BYTES if len(body) == self._held.size > 0 else 0
+            buffers = 0
+            if len(body) == self._held.size > 0:
+                buffers = RECEIVE_BUFFER_BYTES
+                limit_reads(self._writer.transport, DEFAULT_TRANSPORT_READ_BYTES)
             if not self._held.add(len(event.data) + buffers):
                 del event  # the frames of an error would keep it for long
                 raise _no_memory_error()
