--- a/tests/test_review_of_ends.py
+++ b/tests/test_review_of_ends.py
@@ -273,3 +273,16 @@
         connection.close()
         await asyncio.sleep(2 * WORK_S)
     assert "answer_undelivered request_id=r-1" in caplog.text
+
+
+async def test_connection_opened_in_a_stop_may_take_its_time_for_its_request() -> None:
+    """Guards against: a new connection counted as one whose client was not told."""
+    async with HttpServer(respond) as server:
+        port = await listen(server)
+        server.begin_drain()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        await asyncio.sleep(IDLE_TIMEOUT_S)
+        writer.write(REQUEST % b"small")
+        answer = await reader.read()
+        writer.close()
+    assert b"connection: close" in answer.lower() and b"small" in answer
