Close in a stop only connections whose last answer did not tell of it

A connection that was opened while a stopping relay still accepts was closed before its first request, 0.1 s later: its start counted as the end of an answer.

--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -262,12 +262,11 @@
 
     async def _close_untold(self) -> None:
         """Closes connections that have become idle since the drain began."""
-        began_s = loop_time()
         while True:
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
             idle_since_s = loop_time() - UNTOLD_IDLE_S
             for connection in self._connections:
-                if began_s <= connection.waits_since_s <= idle_since_s:
+                if connection.untold and connection.waits_since_s <= idle_since_s:
                     connection.close_if_idle()
 
     async def drain(self, timeout_s: float) -> bool:
@@ -354,6 +353,7 @@
     Attributes:
         delivering: True while it only waits for its client to have all.
         delivered: True once its client has all, and it only waits for its close.
+        untold: True once a response that ended in a drain did not tell of it.
         waits_since_s: Loop time in s since which no request runs on it.
     """
 
@@ -381,6 +381,7 @@
         self._idle_wait: asyncio.Timeout | None = None
         self.delivering = False
         self.delivered = False
+        self.untold = False
         self.waits_since_s = loop_time()
         self._held = HeldBytes(process_ledger())
         self._expects_continue = False
@@ -497,6 +498,7 @@
         if self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
+        self.untold = self._server.draining
         return True
 
     async def _read_head(self) -> HttpRequest | None:
