Tell an answer that is cut for memory apart from a complete one

Callers saw an answer of 4 MB end after its head, while the relay counted it as answered and logged no answer_incomplete.

Cause: an abort empties the transport's buffer and ends the wait for the client without an error. The writing of the answer went on into the closed transport, found nothing buffered, and ended as complete (seen by a trial that printed each end: NO_MEMORY aborts followed by COMPLETE, five of six clients). Now each flush fails once the connection was aborted, so the end is the one that the abort names; STOPPED ends the same way.

--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -783,10 +783,17 @@
             self._writer.write(data)
 
     async def _flush(self) -> None:
-        if not self._writer.transport.get_write_buffer_size():
-            return  # the buffer is empty in nearly all cases
-        async with asyncio.timeout(WRITE_TIMEOUT_S):
-            await self._writer.drain()
+        """Waits until the transport takes more.
+
+        Raises:
+            OSError: The connection was lost, or aborted by this process.
+            TimeoutError: The client has not read for WRITE_TIMEOUT_S.
+        """
+        if self._writer.transport.get_write_buffer_size():  # empty in nearly all cases
+            async with asyncio.timeout(WRITE_TIMEOUT_S):
+                await self._writer.drain()
+        if self._aborted is not None:  # which empties the buffer, without an error
+            raise ConnectionAbortedError("the connection was aborted")
 
 
 async def _drop_body(response: HttpResponse) -> None:
