Watch signals before entries, agents and the embedded fleet listen

The same cause as at relays: a SIGTERM as the process begins to listen ended it by the signal, with all that it had accepted. An entry whose drain was not complete also closes its connections before it settles what it owes, as a relay does.

--- a/wasabimux/cli/daemon.py
+++ b/wasabimux/cli/daemon.py
@@ -48,7 +48,7 @@
     from wasabimux.runtime import (
         create_platform_client,
         run_entry,
-        wait_for_stop_signal,
+        watch_stop_signals,
     )
     from wasabimux.settings.process import EntrySettings
 
@@ -57,11 +57,12 @@
     )
 
     async def run() -> bool:
+        stop = watch_stop_signals()
         async with (
             create_platform_client(checked_settings) as store,
             run_entry(checked_settings, store, random.Random()) as running,
         ):
-            await wait_for_stop_signal()
+            await stop.wait()
             return await running.drain()
 
     with written_logs(sys.stderr):
@@ -79,7 +80,7 @@
         settings: JSON file with the settings of the process.
     """
     from wasabimux.adapters.log_writer import written_logs
-    from wasabimux.runtime import run_agent, wait_for_stop_signal
+    from wasabimux.runtime import run_agent, watch_stop_signals
     from wasabimux.settings.process import AgentSettings
 
     checked_settings = _settings_or_exit(
@@ -87,8 +88,9 @@
     )
 
     async def run() -> bool:
+        stop = watch_stop_signals()
         async with run_agent(checked_settings) as running:
-            await wait_for_stop_signal()
+            await stop.wait()
             return await running.drain()
 
     with written_logs(sys.stderr):
@@ -154,7 +156,7 @@
         platform_port: Port of the platform's API on 127.0.0.1.
     """
     from wasabimux.adapters.log_writer import written_logs
-    from wasabimux.runtime import wait_for_stop_signal
+    from wasabimux.runtime import watch_stop_signals
     from wasabimux.settings.check import check_fleet
     from wasabimux.standins.embedded import run_embedded
 
@@ -162,6 +164,7 @@
     checked_settings = _settings_or_exit(check_fleet(document), fleet)
 
     async def run() -> bool:
+        stop = watch_stop_signals()
         http_address, admin_address = f"127.0.0.1:{port}", f"127.0.0.1:{admin_port}"
         platform = f"127.0.0.1:{platform_port}"
         async with run_embedded(
@@ -173,7 +176,7 @@
                 f" platform=http://{platform}"
             )
             print(_example_curl_command(http_address, checked_settings), flush=True)
-            await wait_for_stop_signal()
+            await stop.wait()
             return await running.drain()
 
     with written_logs(sys.stderr, "WARNING"):
--- a/wasabimux/runtime.py
+++ b/wasabimux/runtime.py
@@ -139,6 +139,8 @@
     async def drain() -> bool:
         timeline.record("draining")
         drained = await http_server.drain(DRAIN_TIMEOUT_S)
+        if not drained:
+            http_server.close()
         await asyncio.gather(
             entry.settle(SETTLE_TIMEOUT_S), admin_server.drain(ADMIN_DRAIN_TIMEOUT_S)
         )
@@ -216,13 +218,22 @@
     return PlatformClient(host, port, read_secret(settings.platform_token_env))
 
 
-async def wait_for_stop_signal() -> None:
-    """Waits for SIGINT or SIGTERM."""
+def watch_stop_signals() -> asyncio.Event:
+    """Returns an event that is set by SIGINT or SIGTERM.
+
+    It is to be called before the process listens: a signal without a handler ends the
+    process and the connections that it has accepted.
+    """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(signal_number, stop.set)
-    await stop.wait()
+    return stop
+
+
+async def wait_for_stop_signal() -> None:
+    """Waits for SIGINT or SIGTERM."""
+    await watch_stop_signals().wait()
 
 
 def read_secret(variable: str | None) -> str | None:
