--- a/wasabimux/adapters/delivery.py
+++ b/wasabimux/adapters/delivery.py
@@ -18,6 +18,7 @@
 from collections.abc import Callable
 
 from wasabimux._clock import loop_time
+from wasabimux.errors import RefusedError
 
 #: Interval in s between checks of what a peer has acknowledged; it doubles up to the
 #: longest one.
@@ -111,8 +112,11 @@
 
 
 async def _drop_received(reader: asyncio.StreamReader) -> None:
-    """Reads and drops what a peer sends, until it closes its sending side."""
-    with contextlib.suppress(OSError):
+    """Reads and drops what a peer sends, until it closes its sending side.
+
+    A reader whose wait was ended with an error reads nothing more.
+    """
+    with contextlib.suppress(OSError, RefusedError):
         while await reader.read(DROPPED_BYTES):
             pass
 
--- a/wasabimux/cli/daemon.py
+++ b/wasabimux/cli/daemon.py
@@ -128,7 +128,7 @@
         running_relay = run_relay(
             checked_settings, platform, rng, lambda: writer.dropped_line_count
         )
-        async with running_relay as running:
+        async with platform.store, running_relay as running:
             await wait_for_shutdown_signal(signals, path, running.timeline)
             return await running.drain()
 
--- a/wasabimux/relay/ports.py
+++ b/wasabimux/relay/ports.py
@@ -71,7 +71,8 @@
 class ObjectStore(Protocol):
     """Client of the platform's store, whose calls are billed and rate limited.
 
-    Every method raises StoreUnavailable if the store does not respond.
+    A context manager that closes its connections. Every method raises StoreUnavailable
+    if the store does not respond.
 
     Attributes:
         on_call: Called after each call with the method and the outcome.
@@ -83,6 +84,12 @@
     era: int
     answered_s: float
 
+    async def __aenter__(self) -> ObjectStore:
+        """Enters the context."""
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Closes the connections."""
+
     async def list(self, kind: str, allow_stale: bool = False) -> ListedObjects:
         """Lists all objects of a kind.
 
