--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -334,7 +334,7 @@
         self._connections.add(connection)
         try:
             await connection.serve()
-            await connection.deliver()
+            await connection.finish()
         except ConnectionError:
             connection.log_reset()
         except (OSError, TimeoutError, asyncio.CancelledError):
@@ -423,16 +423,16 @@
         """Closes the connection if it waits for a request and all was read."""
         idle_wait = self._idle_wait
         if idle_wait is not None and not idle_wait.expired() and self.is_idle():
-            idle_wait.reschedule(loop_time())
+            idle_wait.reschedule(loop_time())  # ends the wait, see _await_request
 
-    async def deliver(self) -> None:
+    async def finish(self) -> None:
         """Waits until all that was written has reached the client.
 
         Nothing is read from a client that has all and was not told of the end: if it
         sends another request, the reset shows that it was not read.
         """
         writer = self._writer
-        was_told = self._http.our_state is h11.MUST_CLOSE
+        was_told = self._http.our_state is h11.MUST_CLOSE and not self._reader.at_eof()
         if writer.is_closing() or not (was_told or undelivered_bytes(writer)):
             return
         self.delivering = True
@@ -655,7 +655,7 @@
         """
         is_unread = isinstance(error, TimeoutError)
         if not is_unread and self._http.their_http_version != HTTP_1_0:
-            await self.deliver()
+            await self.finish()
         self.abort()
 
     def _log_unread(self, request: HttpRequest) -> None:
