--- a/tests/stopping_process.py
+++ b/tests/stopping_process.py
@@ -99,6 +99,15 @@
         return data
 
 
+async def connect_socket(port: int) -> socket.socket:
+    """Connects to a port on this machine with a small receive buffer."""
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    connection.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(connection, ("127.0.0.1", port))
+    return connection
+
+
 async def connect_slowly(port: int, tls: ssl.SSLContext | None = None) -> SlowChannel:
     """Connects to a port on this machine with a small receive buffer.
 
--- a/tests/test_slow_readers_at_stop.py
+++ b/tests/test_slow_readers_at_stop.py
@@ -8,29 +8,27 @@
 
 import asyncio
 import contextlib
-import os
 import signal
 import socket
-import subprocess
 import sys
 from collections.abc import AsyncGenerator, Iterator
-from pathlib import Path
 
 import pytest
 
+from tests.stopping_process import (
+    READ_BYTES,
+    READ_PAUSE_S,
+    StoppingProcess,
+    connect_socket,
+    shrink_send_buffers,
+)
 from wasabimux.adapters.http_server import HttpRequest, HttpResponse, HttpServer
 
-#: Send buffer of the listener, and receive buffer of the clients, in bytes.
-BUFFER_BYTES = 8 * 1024
-
-#: Size of an answer, of the pieces in which a client reads it, and its pause in s.
+#: Size of an answer, in bytes.
 ANSWER_BYTES = 120_000
-READ_BYTES = 1_000
-READ_PAUSE_S = 0.015
 
 CLIENTS = 5
 DRAIN_TIMEOUT_S = 20.0
-TEST_TIMEOUT_S = 60.0
 
 #: Longest time in s that a stop waits for answers in the test of its bound.
 SHORT_GRACE_S = 1.0
@@ -62,61 +60,12 @@
     async with HttpServer(respond) as server:
         _, port = await server.listen("127.0.0.1", 0)
         assert server._server is not None
-        for listener in server._server.sockets:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+        shrink_send_buffers(server._server)
         print(port, flush=True)
         await stop.wait()
         return await server.drain(drain_timeout_s)
 
 
-class ServerProcess:
-    """A server in a process of its own; a context manager that ends it.
-
-    Args:
-        drain_timeout_s: Longest time in s for answers under way at its stop.
-
-    Attributes:
-        port: Port on which it serves.
-    """
-
-    def __init__(self, drain_timeout_s: float = DRAIN_TIMEOUT_S) -> None:
-        command = [sys.executable, "-m", __name__, str(drain_timeout_s)]
-        self._process = subprocess.Popen(
-            command,
-            stdout=subprocess.PIPE,
-            cwd=Path(__file__).parent.parent,
-            env=os.environ | {"PYTHONDONTWRITEBYTECODE": "1"},
-        )
-        assert self._process.stdout is not None
-        self.port = int(self._process.stdout.readline())
-
-    def __enter__(self) -> ServerProcess:
-        return self
-
-    def __exit__(self, *exc_info: object) -> None:
-        self._process.kill()
-        self._process.wait()
-        assert self._process.stdout is not None
-        self._process.stdout.close()
-
-    def stop(self) -> None:
-        """Stops the process as the platform does."""
-        self._process.send_signal(signal.SIGTERM)
-
-    async def wait(self) -> int:
-        """Waits until the process has ended, and returns its exit code."""
-        return await asyncio.to_thread(self._process.wait, TEST_TIMEOUT_S)
-
-
-async def connect(port: int) -> socket.socket:
-    """Returns a connection with a small receive buffer."""
-    connection = socket.socket()
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
-    connection.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(connection, ("127.0.0.1", port))
-    return connection
-
-
 async def read_slowly(connection: socket.socket, until_bytes: int) -> bytes:
     """Reads in small pieces until a body of so many bytes, or the end, has come."""
     loop = asyncio.get_running_loop()
@@ -139,19 +88,19 @@
 
 
 @pytest.fixture
-def server() -> Iterator[ServerProcess]:
+def server() -> Iterator[StoppingProcess]:
     """A server that waits for answers under way."""
-    with ServerProcess() as process:
+    with StoppingProcess(__name__, str(DRAIN_TIMEOUT_S)) as process:
         yield process
 
 
 @pytest.mark.parametrize("is_stopped", [True, False])
 @pytest.mark.parametrize("path", [b"body", b"stream"])
 async def test_answer_read_slowly_around_a_stop_arrives_whole(
-    server: ServerProcess, path: bytes, is_stopped: bool
+    server: StoppingProcess, path: bytes, is_stopped: bool
 ) -> None:
     """Regression: the process ended while it held the last part of answers."""
-    connections = [await connect(server.port) for _ in range(CLIENTS)]
+    connections = [await connect_socket(server.ports[0]) for _ in range(CLIENTS)]
     reading = []
     for connection in connections:
         connection.sendall(REQUEST % path)
@@ -168,10 +117,10 @@
 
 
 async def test_request_that_crosses_a_close_does_not_destroy_the_answer(
-    server: ServerProcess,
+    server: StoppingProcess,
 ) -> None:
     """Regression: a close with data of the client unread reset the connection."""
-    connection = await connect(server.port)
+    connection = await connect_socket(server.ports[0])
     connection.sendall(REQUEST.replace(b"\r\n\r\n", CLOSE_FIELD) % b"body")
     reading = asyncio.ensure_future(read_slowly(connection, ANSWER_BYTES))
     while not reading.done():
@@ -183,8 +132,8 @@
 
 
 async def test_slow_reader_holds_a_stop_no_longer_than_the_grace() -> None:
-    with ServerProcess(drain_timeout_s=SHORT_GRACE_S) as server:
-        connection = await connect(server.port)
+    with StoppingProcess(__name__, str(SHORT_GRACE_S)) as server:
+        connection = await connect_socket(server.ports[0])
         connection.sendall(REQUEST % b"body")
         await read_slowly(connection, READ_BYTES)
         server.stop()
