--- a/tests/stopping_process.py
+++ b/tests/stopping_process.py
@@ -108,6 +108,22 @@
     return connection
 
 
+async def read_slowly(connection: socket.socket, until_bytes: int) -> bytes:
+    """Reads in small pieces until a body of so many bytes, or the end, has come."""
+    loop = asyncio.get_running_loop()
+    received = bytearray()
+    while received.count(b"x") < until_bytes:
+        try:
+            data = await loop.sock_recv(connection, READ_BYTES)
+        except ConnectionError:
+            break
+        if not data:
+            break
+        received += data
+        await asyncio.sleep(READ_PAUSE_S)
+    return bytes(received)
+
+
 async def connect_slowly(port: int, tls: ssl.SSLContext | None = None) -> SlowChannel:
     """Connects to a port on this machine with a small receive buffer.
 
--- a/tests/test_review_of_ends.py
+++ b/tests/test_review_of_ends.py
@@ -10,7 +10,7 @@
 import pytest
 
 from tests.relay_fixtures import relay_cluster
-from tests.stopping_process import BUFFER_BYTES, READ_BYTES, READ_PAUSE_S
+from tests.stopping_process import connect_socket, read_slowly, shrink_send_buffers
 from wasabimux.adapters.http_server import (
     LINGER_RESET,
     HttpLimits,
@@ -68,40 +68,15 @@
     """Listens with a small send buffer, as on a long way to the client."""
     _, port = await server.listen("127.0.0.1", 0)
     assert server._server is not None
-    for listener in server._server.sockets:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+    shrink_send_buffers(server._server)
     return port
 
 
-async def connect(port: int) -> socket.socket:
-    """Returns a connection with a small receive buffer."""
-    connection = socket.socket()
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
-    connection.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(connection, ("127.0.0.1", port))
-    return connection
-
-
-async def read_slowly(connection: socket.socket, until_bytes: int) -> bytes:
-    """Reads in small pieces until a body of so many bytes, or the end, has come."""
-    received = bytearray()
-    while received.count(b"x") < until_bytes:
-        try:
-            data = await asyncio.get_running_loop().sock_recv(connection, READ_BYTES)
-        except ConnectionError:
-            break
-        if not data:
-            break
-        received += data
-        await asyncio.sleep(READ_PAUSE_S)
-    return bytes(received)
-
-
 async def test_idle_timeout_waits_for_a_client_that_still_reads_its_answer() -> None:
     """Guards against: the next request was read and dropped, with no answer."""
     limits = HttpLimits(idle_timeout_s=IDLE_TIMEOUT_S)
     async with HttpServer(respond, limits) as server:
-        connection = await connect(await listen(server))
+        connection = await connect_socket(await listen(server))
         connection.sendall(REQUEST % b"large")
         answer = await read_slowly(connection, ANSWER_BYTES)
         assert answer.count(b"x") == ANSWER_BYTES
@@ -149,7 +124,7 @@
 async def test_answer_before_one_that_is_cut_arrives_whole() -> None:
     """Guards against: the cut of the second answer discarded the unread first one."""
     async with HttpServer(respond) as server:
-        connection = await connect(await listen(server))
+        connection = await connect_socket(await listen(server))
         connection.sendall(REQUEST % b"medium" + REQUEST % b"broken")
         answer = await read_slowly(connection, ANSWER_BYTES)
         connection.close()
@@ -216,7 +191,7 @@
         return HttpResponse(200, body=stream(), on_done=ends.append)
 
     async with HttpServer(respond_late) as server:
-        connection = await connect(await listen(server))
+        connection = await connect_socket(await listen(server))
         connection.sendall(REQUEST % b"late")
         await asyncio.sleep(4 * WORK_S)
         assert len(ends) == 1
@@ -265,7 +240,7 @@
         return HttpResponse(200, body=body, on_done=ends.append, request_id="r-1")
 
     async with HttpServer(respond_named) as server:
-        connection = await connect(await listen(server))
+        connection = await connect_socket(await listen(server))
         connection.sendall(REQUEST % b"named")
         await asyncio.sleep(2 * WORK_S)
         assert ends == [ResponseEnd.COMPLETE]
--- a/tests/test_slow_readers_at_stop.py
+++ b/tests/test_slow_readers_at_stop.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import signal
-import socket
 import sys
 from collections.abc import AsyncGenerator, Iterator
 
@@ -20,6 +19,7 @@
     READ_PAUSE_S,
     StoppingProcess,
     connect_socket,
+    read_slowly,
     shrink_send_buffers,
 )
 from wasabimux.adapters.http_server import HttpRequest, HttpResponse, HttpServer
@@ -66,22 +66,6 @@
         return await server.drain(drain_timeout_s)
 
 
-async def read_slowly(connection: socket.socket, until_bytes: int) -> bytes:
-    """Reads in small pieces until a body of so many bytes, or the end, has come."""
-    loop = asyncio.get_running_loop()
-    received = bytearray()
-    while received.count(b"x") < until_bytes:
-        try:
-            data = await loop.sock_recv(connection, READ_BYTES)
-        except ConnectionError:
-            break
-        if not data:
-            break
-        received += data
-        await asyncio.sleep(READ_PAUSE_S)
-    return bytes(received)
-
-
 def is_whole(answer: bytes) -> bool:
     """Returns whether an answer has all bytes of its body."""
     return answer.count(b"x") == ANSWER_BYTES
--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -713,9 +713,9 @@
             end = self._aborted or ResponseEnd.CLIENT_GONE
             raise
         except asyncio.CancelledError:
-            end = self._aborted or end
             if self._is_client_gone:
-                end = self._aborted or ResponseEnd.CLIENT_GONE
+                end = ResponseEnd.CLIENT_GONE
+            end = self._aborted or end
             raise
         finally:
             if response.on_done is not None:
--- a/wasabimux/relay/process.py
+++ b/wasabimux/relay/process.py
@@ -131,9 +131,7 @@
         least_s = settings.grace_s * SETTLE_FRACTION
         if not drained:
             http_server.close()
-            await http_server.drain(
-                least_s
-            )  # until the requests that it cut have ended
+            await http_server.drain(least_s)  # the requests that it cut still end
         left_s = max(least_s, ends_s - loop_time())
         operators_s = min(left_s, OPERATORS_DRAIN_S)
         await asyncio.gather(
