--- a/tests/test_clients_that_leave.py
+++ b/tests/test_clients_that_leave.py
@@ -199,3 +199,23 @@
         runs = [run for runner in cluster.runners.values() for run in runner.runs]
     assert all(run.request_id == "r1" for run in runs)
     assert f"event=data_unread request_id=r1 bytes={len(second)}" in caplog.text
+
+
+async def test_request_that_is_cancelled_while_its_caller_waits_is_named(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Regression: its connection was reset, and no line told it from one that left."""
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        request.request_id = "r1"
+        raise asyncio.CancelledError
+
+    async with HttpServer(handle) as server:
+        reader, writer = await asyncio.open_connection(
+            *await server.listen("127.0.0.1", 0)
+        )
+        writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        with contextlib.suppress(ConnectionError):
+            assert await reader.read() == b""
+        writer.close()
+    assert "event=handler_cancelled request_id=r1" in caplog.text
--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -453,7 +453,21 @@
 
     def drop_data(self) -> None:
         """Drops what was received and not read, which an error may keep for long."""
-        self._reader._buffer.clear()  # type: ignore[attr-defined]
+        buffered = self._reader._buffer  # type: ignore[attr-defined]
+        if buffered and not self._is_client_gone:
+            self._log_dropped(len(buffered))
+        buffered.clear()
+
+    def _log_dropped(self, size: int) -> None:
+        """Logs data that was received, and is dropped with its connection."""
+        left_out = self._server.sampler.admit(loop_time())
+        if left_out is not None:
+            logger.warning(
+                "event=data_dropped request_id=%s bytes=%d left_out=%d",
+                self._written_request_id,
+                size,
+                left_out,
+            )
 
     def abort(self, end: ResponseEnd = ResponseEnd.FAILED) -> None:
         """Aborts the connection immediately.
@@ -637,6 +651,8 @@
                 self._log_unread(request)
             await asyncio.wait({handling})
             if handling.cancelled():
+                if not self._is_client_gone:
+                    self._log_cancelled(request)
                 self.abort()
             elif (error := handling.exception()) is not None:
                 disconnect.cancel()
@@ -670,6 +686,16 @@
                 left_out,
             )
 
+    def _log_cancelled(self, request: HttpRequest) -> None:
+        """Logs a request that has no answer, although its client has not left."""
+        left_out = self._server.sampler.admit(loop_time())
+        if left_out is not None:
+            logger.warning(
+                "event=handler_cancelled request_id=%s left_out=%d",
+                request.request_id,
+                left_out,
+            )
+
     async def _wait_for_disconnect(self) -> None:
         """Returns once the client has closed its side of the connection."""
         await self._body_read.wait()
