--- /dev/null
+++ b/tests/test_silent_engines.py
@@ -0,0 +1,117 @@
+"""Streams whose engine falls silent, and goes on before another one can take them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncGenerator
+
+import pytest
+import pytest_asyncio
+
+from tests.relay_fixtures import RelayCluster, relay_cluster
+from wasabimux.adapters.http_client import ClientResponse
+from wasabimux.decisions import stream_migration
+from wasabimux.platform.standins.runner import StandInRunner
+from wasabimux.relay.stream_retries import STALL_TIMEOUT_S
+
+TOKEN_COUNTS = "100,60"
+ENGINES = ("dec-1", "dec-2", "dec-3")
+
+EVENTS = 8
+EVENTS_BEFORE_SILENCE = 3
+
+#: Time in s for which an engine is silent: longer than a stream waits for a slot.
+SILENCE_S = STALL_TIMEOUT_S + 2.5
+
+
+@pytest_asyncio.fixture
+async def cluster() -> AsyncGenerator[RelayCluster, None]:
+    """One relay; its engines fall silent after some events of a stream."""
+    async with relay_cluster() as running:
+        for name in ENGINES:
+            running.runners[name].events = EVENTS
+            running.runners[name].faults.stall_after_events = EVENTS_BEFORE_SILENCE
+        yield running
+
+
+def expected_stream() -> bytes:
+    """Returns the events of a whole stream."""
+    return b"".join(
+        f"id: {number}\ndata: token-{number}\n\n".encode()
+        for number in range(1, EVENTS + 1)
+    )
+
+
+async def begin_stream(cluster: RelayCluster) -> ClientResponse:
+    """Starts a stream that may go on at another engine."""
+    return await cluster.request("/gen/1", wasabimux_token_count=TOKEN_COUNTS)
+
+
+async def events_of(response: ClientResponse) -> bytes:
+    """Returns the events of a stream, without the comments between them."""
+    async with response:
+        blocks = (await response.body()).split(b"\n\n")
+    return b"".join(block + b"\n\n" for block in blocks if block.startswith(b"id"))
+
+
+def engine_of(cluster: RelayCluster) -> StandInRunner:
+    """Returns the engine that runs the stream."""
+    return next(item for item in cluster.runners.values() if item.runs)
+
+
+def refuse_reservations(cluster: RelayCluster, refuse: bool = True) -> None:
+    """Makes all engines refuse slots, or grant them again."""
+    for name in ENGINES:
+        cluster.runners[name].faults.refuse_reservations = refuse
+
+
+def end_silence(cluster: RelayCluster) -> None:
+    """Lets all engines go on."""
+    for name in ENGINES:
+        cluster.runners[name].faults.stall_after_events = None
+
+
+async def test_silent_stream_is_not_given_up_while_no_other_engine_has_a_slot(
+    cluster: RelayCluster,
+) -> None:
+    response = await begin_stream(cluster)
+    refuse_reservations(cluster)
+    await asyncio.sleep(SILENCE_S)
+    end_silence(cluster)
+    assert await events_of(response) == expected_stream()
+    assert len([run for item in cluster.runners.values() for run in item.runs]) == 1
+
+
+async def test_silent_stream_goes_on_elsewhere_once_there_is_a_slot(
+    cluster: RelayCluster,
+) -> None:
+    response = await begin_stream(cluster)
+    silent = engine_of(cluster)
+    refuse_reservations(cluster)
+    await asyncio.sleep(STALL_TIMEOUT_S + 0.5)
+    end_silence(cluster)
+    silent.faults.stall_after_events = EVENTS_BEFORE_SILENCE
+    refuse_reservations(cluster, refuse=False)
+    assert await events_of(response) == expected_stream()
+
+
+async def test_moved_stream_is_not_given_up_while_its_new_engine_is_silent(
+    cluster: RelayCluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    end_silence(cluster)
+    for name in ENGINES:
+        cluster.runners[name].events = 100
+    response = await begin_stream(cluster)
+    source = engine_of(cluster)
+    for name in ENGINES:
+        cluster.runners[name].faults.delay_s = SILENCE_S
+    refuse_reservations(cluster)
+    monkeypatch.setattr(stream_migration, "MIGRATION_FILL_FRACTION", 0.0)
+    await cluster.wait_until(
+        lambda: any(
+            item.runs and item is not source for item in cluster.runners.values()
+        )
+    )
+    monkeypatch.undo()
+    events = await events_of(response)
+    assert events.count(b"id: ") == 100
