Leave a silent engine only for one that is ready to go on

What callers saw: a stream ended within its answer though its engine lived.

Cause: what was held was given up before what should replace it was had. Engines that preempt streams are silent for seconds and then go on; the wait for a slot elsewhere began after the connection was closed. A stream that moves had the same end if its new engine was silent.

Now a slot is got, and the prompt prefilled, while the silent engine is still waited for; whichever comes first decides. Without a slot the stream stays. Before the first event nothing changes: a refusal can still tell the caller.

The stand-in learns stalls that end (stall_s): the tests as they stood before could not have passed, as its stall lasted for good.

--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -26,11 +26,13 @@
 
 @pytest_asyncio.fixture
 async def cluster() -> AsyncGenerator[RelayCluster, None]:
-    """One relay; its engines fall silent after some events of a stream."""
+    """One relay; its engines are silent for a time after some events of a stream."""
     async with relay_cluster() as running:
         for name in ENGINES:
-            running.runners[name].events = EVENTS
-            running.runners[name].faults.stall_after_events = EVENTS_BEFORE_SILENCE
+            runner = running.runners[name]
+            runner.events = EVENTS
+            runner.faults.stall_after_events = EVENTS_BEFORE_SILENCE
+            runner.faults.stall_s = SILENCE_S
         yield running
 
 
@@ -65,8 +67,8 @@
         cluster.runners[name].faults.refuse_reservations = refuse
 
 
-def end_silence(cluster: RelayCluster) -> None:
-    """Lets all engines go on."""
+def let_begin(cluster: RelayCluster) -> None:
+    """Makes the engines send the streams that begin from now on without a pause."""
     for name in ENGINES:
         cluster.runners[name].faults.stall_after_events = None
 
@@ -76,8 +78,6 @@
 ) -> None:
     response = await begin_stream(cluster)
     refuse_reservations(cluster)
-    await asyncio.sleep(SILENCE_S)
-    end_silence(cluster)
     assert await events_of(response) == expected_stream()
     assert len([run for item in cluster.runners.values() for run in item.runs]) == 1
 
@@ -85,20 +85,53 @@
 async def test_silent_stream_goes_on_elsewhere_once_there_is_a_slot(
     cluster: RelayCluster,
 ) -> None:
+    for name in ENGINES:
+        cluster.runners[name].faults.stall_s = None
     response = await begin_stream(cluster)
-    silent = engine_of(cluster)
+    let_begin(cluster)
     refuse_reservations(cluster)
     await asyncio.sleep(STALL_TIMEOUT_S + 0.5)
-    end_silence(cluster)
-    silent.faults.stall_after_events = EVENTS_BEFORE_SILENCE
     refuse_reservations(cluster, refuse=False)
     assert await events_of(response) == expected_stream()
 
 
+async def test_slot_elsewhere_is_freed_as_the_silent_engine_goes_on(
+    cluster: RelayCluster,
+) -> None:
+    for name in ENGINES:
+        cluster.runners[name].faults.stall_s = STALL_TIMEOUT_S + 0.5
+    response = await begin_stream(cluster)
+    refuse_reservations(cluster)
+    assert await events_of(response) == expected_stream()
+    relay = cluster.relays[0].relay
+    refuse_reservations(cluster, refuse=False)
+    await cluster.wait_until(
+        lambda: all(
+            item.running == 0 and not item.streams for item in relay.pool.by_id.values()
+        )
+    )
+    assert relay.slots.waiting == 0
+    assert not any(cluster.runners[name].state.reservations for name in ENGINES)
+
+
+async def test_client_that_leaves_a_silent_stream_frees_all_slots(
+    cluster: RelayCluster,
+) -> None:
+    response = await begin_stream(cluster)
+    refuse_reservations(cluster)
+    await asyncio.sleep(STALL_TIMEOUT_S + 0.5)
+    response.close()
+    relay = cluster.relays[0].relay
+    await cluster.wait_until(
+        lambda: relay.slots.waiting == 0
+        and all(item.running == 0 for item in relay.pool.by_id.values())
+    )
+
+
 async def test_moved_stream_is_not_given_up_while_its_new_engine_is_silent(
     cluster: RelayCluster, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    end_silence(cluster)
+    let_begin(cluster)
     for name in ENGINES:
         cluster.runners[name].events = 100
     response = await begin_stream(cluster)
--- a/wasabimux/platform/standins/runner.py
+++ b/wasabimux/platform/standins/runner.py
@@ -67,6 +67,7 @@
         refuse_reservations: True to refuse slot reservations.
         stall_after_events: Number of events after which responses send only comments;
             None for complete responses.
+        stall_s: Time in s after which a stalled response goes on; None for never.
         fail_kv_cache_copies: True to stop a stream for migration without copying its
             KV cache.
         crashing_part: Part of a prompt on which the runner crashes as it begins to
@@ -90,6 +91,7 @@
     wrong_request_id: bool = False
     cut_after_events: int | None = None
     stall_after_events: int | None = None
+    stall_s: float | None = None
     delay_s: float = 0.0
     control_delay_s: float = 0.0
     refuse_reservations: bool = False
@@ -358,13 +360,20 @@
         self, record: RunRecord, last_event_id: int
     ) -> AsyncGenerator[bytes, None]:
         cut_after_events = self.faults.cut_after_events
-        stall_after_events = self.faults.stall_after_events
+        stall_after_events, stall_s = (
+            self.faults.stall_after_events,
+            self.faults.stall_s,
+        )
+        stalled_s = 0.0
         for number in range(last_event_id + 1, self.events + 1):
-            while stall_after_events is not None and (
-                number - last_event_id > stall_after_events
+            while (
+                stall_after_events is not None
+                and number - last_event_id > stall_after_events
+                and (stall_s is None or stalled_s < stall_s)
             ):
                 yield b": still here\n\n"
                 await asyncio.sleep(COMMENT_INTERVAL_S)
+                stalled_s += COMMENT_INTERVAL_S
             is_cut = (
                 cut_after_events is not None
                 and number - last_event_id > cut_after_events
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncGenerator
+from functools import partial
 
 from wasabimux._clock import loop_time
 from wasabimux.adapters.http_server import HttpResponse
@@ -24,6 +25,7 @@
 from wasabimux.relay.records import RequestEventRecorder
 from wasabimux.relay.rollouts import Rollouts
 from wasabimux.relay.slots import DecodeSlot, SlotScheduler
+from wasabimux.relay.standby import ReadySlot, StandbySlot
 from wasabimux.relay.stream_records import StreamRecords
 from wasabimux.relay.stream_retries import StreamRetries
 from wasabimux.relay.stream_start import STATUS_OK, StreamStarter
@@ -144,18 +146,23 @@
             )
 
     async def _open_stream(
-        self, request: RelayRequest, progress: StreamProgress
+        self,
+        request: RelayRequest,
+        progress: StreamProgress,
+        ready: ReadySlot | None = None,
     ) -> EngineStream:
         """Opens the stream at an engine; retries within the retry budget.
 
         Args:
             request: Request of the stream.
             progress: Position of the client, after which the stream starts.
+            ready: Slot for the first attempt, None to get one.
         """
         while True:
             sent = len(request.tried_upstreams)
+            first, ready = ready, None
             try:
-                return await self._attempt(request, progress)
+                return await self._attempt(request, progress, first)
             except RefusedError:
                 if len(request.tried_upstreams) == sent or not self._retries.may_retry(
                     request
@@ -164,31 +171,51 @@
                 self._recorder.record(request, "sent_again")
 
     async def _attempt(
-        self, request: RelayRequest, progress: StreamProgress
+        self,
+        request: RelayRequest,
+        progress: StreamProgress,
+        ready: ReadySlot | None,
     ) -> EngineStream:
-        """Reserves a slot, prefills the prompt if needed and starts decoding.
+        """Starts the stream in a slot, which is got first if there is none.
 
-        Another slot is reserved if the engine takes no requests any more meanwhile.
+        Another slot is got if the engine takes no requests any more.
         """
         while True:
-            self._quarantine.check(request)
-            self._check_version(request)
-            slot = await self._slot_scheduler.acquire(request, request.tried_upstreams)
+            slot, kv_source = ready or await self._prepare_slot(request)
+            ready = None
             try:
-                self._quarantine.check(request)
-                kv_source = request.kv_source(loop_time())
-                if kv_source is None:
-                    kv_source = await self._prefill_prompt(request, slot.upstream)
                 if self._selector.accepts_requests(slot.upstream, loop_time()):
                     return await self._send_to_decode(
                         request, slot, kv_source, progress
                     )
             except BaseException:
-                self._slot_scheduler.release(slot, loop_time())
+                self._release(slot)
                 raise
-            self._slot_scheduler.release(slot, loop_time())
+            self._release(slot)
             self._recorder.record(request, "slot_given_up", slot.upstream)
 
+    async def _prepare_slot(self, request: RelayRequest) -> ReadySlot:
+        """Reserves a slot, and prefills the prompt if needed.
+
+        Raises:
+            RefusedError: There is no slot, or the request may not be sent.
+        """
+        self._quarantine.check(request)
+        self._check_version(request)
+        slot = await self._slot_scheduler.acquire(request, request.tried_upstreams)
+        try:
+            self._quarantine.check(request)
+            kv_source = request.kv_source(loop_time())
+            if kv_source is None:
+                kv_source = await self._prefill_prompt(request, slot.upstream)
+            return ReadySlot(slot, kv_source)
+        except BaseException:
+            self._release(slot)
+            raise
+
+    def _release(self, slot: DecodeSlot) -> None:
+        self._slot_scheduler.release(slot, loop_time())
+
     async def _prefill_prompt(
         self, request: RelayRequest, decode: Upstream
     ) -> str | None:
@@ -268,6 +295,9 @@
         self, request: RelayRequest, active: ActiveStream, progress: StreamProgress
     ) -> AsyncGenerator[bytes, None]:
         """Yields the events of a stream across migrations and resumptions."""
+        prepare = partial(self._prepare_slot, request)
+        standby = StandbySlot(request, prepare, self._release, self._recorder)
+        request.standby = standby
         try:
             async with request.deadline_scope():
                 while True:
@@ -292,11 +322,13 @@
                     if migrated is not None:
                         progress.was_stopped = True
                         active.stream = await self._resume_migrated(
-                            request, migrated, progress
+                            request, migrated, progress, standby
                         )
                     else:
                         self._on_broken(request, stream, progress, lost)
-                        active.stream = await self._resume_elsewhere(request, progress)
+                        active.stream = await self._resume_elsewhere(
+                            request, progress, standby
+                        )
         except RefusedError as error:
             self._recorder.record(
                 request,
@@ -305,6 +337,8 @@
                 events=progress.events,
             )
             raise
+        finally:
+            standby.drop()
 
     async def _forward_events(
         self, request: RelayRequest, stream: EngineStream, progress: StreamProgress
@@ -322,6 +356,8 @@
                 stream.slot.on_events(progress.events)
                 request.response_started = True
                 yield event.data
+            if request.standby is not None and stream.waited_s == 0.0:
+                request.standby.drop()
             stream.pending = []
             if stream.ended:
                 return
@@ -351,7 +387,11 @@
         )
 
     async def _resume_migrated(
-        self, request: RelayRequest, migrated: MigratedStream, progress: StreamProgress
+        self,
+        request: RelayRequest,
+        migrated: MigratedStream,
+        progress: StreamProgress,
+        standby: StandbySlot,
     ) -> EngineStream:
         """Resumes a migrated stream in its new slot, or else at another engine."""
         slot = migrated.slot
@@ -363,20 +403,20 @@
             reason = error.refusal.message
             self._recorder.record(request, "move_failed", slot.upstream, reason=reason)
         except BaseException:
-            self._slot_scheduler.release(slot, loop_time())
+            self._release(slot)
             raise
-        self._slot_scheduler.release(slot, loop_time())
-        return await self._resume_elsewhere(request, progress)
+        self._release(slot)
+        return await self._resume_elsewhere(request, progress, standby)
 
     async def _resume_elsewhere(
-        self, request: RelayRequest, progress: StreamProgress
+        self, request: RelayRequest, progress: StreamProgress, standby: StandbySlot
     ) -> EngineStream:
         """Resumes a stream at another engine, after the last event passed on."""
         if not request.route.resumable or not self._retries.may_retry(request):
             raise request.refusal_error(
                 ErrorCode.UPSTREAM_LOST, "the stream broke off and cannot be resumed"
             )
-        return await self._open_stream(request, progress)
+        return await self._open_stream(request, progress, standby.take())
 
     def _on_broken(
         self,
--- a/wasabimux/relay/stream_retries.py
+++ b/wasabimux/relay/stream_retries.py
@@ -68,10 +68,11 @@
         step: Coroutine[Any, Any, StepResult],
         waited_s: float = 0.0,
     ) -> StepResult:
-        """Awaits a step of a stream, with a timeout if the stream can be resumed.
+        """Awaits a step of a stream, unless the stream stalls and can be resumed.
 
-        There is no timeout where the stream may not be resumed at another engine or
-        where the retry budget is used up.
+        A stream of which the client has a part is left only once it can go on at
+        another engine; until then, and where it may not be resumed or the retry budget
+        is used up, its engine is waited for.
 
         Args:
             request: Request of the stream.
@@ -79,18 +80,27 @@
             waited_s: Time in s waited since the last progress of the stream.
 
         Raises:
-            UpstreamStalled: The stream made no progress for STALL_TIMEOUT_S.
+            UpstreamStalled: The stream made no progress for STALL_TIMEOUT_S, and is to
+                be resumed.
         """
         task = asyncio.ensure_future(step)
         try:
             can_resume = request.route.resumable and request.has_attempts_left()
             timeout_s = max(0.0, STALL_TIMEOUT_S - waited_s) if can_resume else None
             await asyncio.wait({task}, timeout=timeout_s)
-            if not task.done() and self.charge(request):
-                request.retry_charged = True
+            if not task.done() and await self._may_leave(request, task):
                 raise UpstreamStalled(
                     "stream stalled: no data from the engine", sent=True
                 )
             return await task
         finally:
             task.cancel()
+
+    async def _may_leave(self, request: RelayRequest, step: asyncio.Task[Any]) -> bool:
+        """Returns whether a stream leaves its silent engine before a step is done."""
+        standby = request.standby
+        if standby is None:
+            request.retry_charged = self.charge(request)
+            return request.retry_charged
+        request.retry_charged = self.may_retry(request)
+        return request.retry_charged and await standby.is_ready_before(step)
