Wait for the answer of a move before a stopped stream is given up

The engine's answer comes once the copy is complete; it names the only place at which the stream goes on without a new slot. Without one the answer was cut.

The test failed before: two of five events, connection closed.

--- a/tests/test_continued_streams.py
+++ b/tests/test_continued_streams.py
@@ -26,6 +26,7 @@
 TAIL = EVENTS[EVENTS_BEFORE:]
 
 OK = b"HTTP/1.1 200 OK"
+NO_ROOM = b"HTTP/1.1 503 Busy"
 CHUNKED = b"transfer-encoding: chunked"
 EVENT_STREAM = b"content-type: text/event-stream"
 JSON = b"content-type: application/json"
@@ -156,6 +157,7 @@
         following: Answers to requests for the rest of a stream, likewise.
         last_event_ids: Event after which each rest was asked for.
         move_delay_s: Delay in s of answers to calls that move a stream, None for none.
+        is_full_after_stop: True to refuse slots once a stream was stopped to be moved.
     """
 
     def __init__(self, first: Sequence[Answer], following: Sequence[Answer]) -> None:
@@ -163,6 +165,7 @@
         self.following = following
         self.last_event_ids: list[int] = []
         self.move_delay_s: float | None = None
+        self.is_full_after_stop = False
         self._starts = 0
         self._reservations = 0
         self._stopped = asyncio.Event()
@@ -184,12 +187,17 @@
         target = head.split()[1]
         if target == b"/v1/kv-move":
             await self._stop_stream(writer)
+        elif target == b"/v1/hold-take" and self._is_full():
+            writer.write(_control_answer(b"{}", NO_ROOM))
         elif target.startswith(b"/v1/"):
             self._reservations += 1
             writer.write(_control_answer(b'{"hold":"h-%d"}' % self._reservations))
         else:
             await self._write_stream(head, writer)
 
+    def _is_full(self) -> bool:
+        return self.is_full_after_stop and self._stopped.is_set()
+
     async def _stop_stream(self, writer: asyncio.StreamWriter) -> None:
         self._stopped.set()
         await asyncio.sleep(self.move_delay_s or 0.0)
@@ -214,8 +222,9 @@
     return answers[min(number, len(answers) - 1)]
 
 
-def _control_answer(body: bytes) -> bytes:
-    return b"\r\n".join([OK, JSON, sized(body), b"connection: close"]) + HEAD_END + body
+def _control_answer(body: bytes, status: bytes = OK) -> bytes:
+    head = [status, JSON, sized(body), b"connection: close"]
+    return b"\r\n".join(head) + HEAD_END + body
 
 
 class Received(NamedTuple):
@@ -367,6 +376,14 @@
     assert received == Received(200, b"".join(EVENTS), True)
 
 
+async def test_stopped_stream_is_not_given_up_before_its_move_is_answered() -> None:
+    engines = ScriptedEngines([BEGINNING], [WHOLE_TAIL])
+    engines.move_delay_s = 3 * MIGRATION_RESULT_TIMEOUT_S
+    engines.is_full_after_stop = True
+    received = await migrated(engines)
+    assert received == Received(200, b"".join(EVENTS), True)
+
+
 @pytest.mark.parametrize("kind", ["json-200", "text", "error-event", "torn-json"])
 async def test_text_that_is_no_event_does_not_begin_a_stream(kind: str) -> None:
     """Regression: the text came before the events of the next engine."""
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -310,7 +310,10 @@
                                 yield data
                         except UpstreamLost as error:
                             lost = error
-                        migrated = await candidate.result()
+                        may_be_stopped = (
+                            lost is not None or not stream.response.is_framed
+                        )
+                        migrated = await candidate.result(may_be_stopped)
                     if candidate.is_unsettled and not stream.response.is_framed:
                         lost = lost or StreamMismatch(
                             "the stream was stopped", sent=True
--- a/wasabimux/relay/moves.py
+++ b/wasabimux/relay/moves.py
@@ -25,7 +25,7 @@
 #: Interval between checks of the engines' memory.
 CHECK_INTERVAL_S = 0.05
 
-#: Longest wait for the result of a migration once the stream has ended at its engine.
+#: Longest wait for the result of a migration once the stream has ended as a whole one.
 MIGRATION_RESULT_TIMEOUT_S = 0.3
 
 
@@ -72,11 +72,17 @@
             return False
         return self.answer_lost or not self.task.done()
 
-    async def result(self) -> MigratedStream | None:
-        """Waits for the migration's result; None if the stream was not migrated."""
+    async def result(self, may_be_stopped: bool) -> MigratedStream | None:
+        """Waits for the migration's result; None if the stream was not migrated.
+
+        Args:
+            may_be_stopped: True if the stream may lack its end, which only the result
+                tells how to go on with; False if it has ended.
+        """
         if self.task is None:
             return None
-        await asyncio.wait({self.task}, timeout=MIGRATION_RESULT_TIMEOUT_S)
+        timeout_s = None if may_be_stopped else MIGRATION_RESULT_TIMEOUT_S
+        await asyncio.wait({self.task}, timeout=timeout_s)
         self.result_claimed = self.task.done()
         return self.task.result() if self.result_claimed else None
 
