Leave a silent engine only with a retry in hand

Found by reading the fix of the silent engines afresh. The prefill for the slot elsewhere may use up the retry that was charged for leaving; if the budget has no further one, the stream had left its engine and was cut. The retry is charged again once the slot is ready, and the stream stays if it can't be. The test failed before: connection closed after three events.

--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -114,6 +114,17 @@
     assert not any(cluster.runners[name].state.reservations for name in ENGINES)
 
 
+async def test_silent_stream_stays_if_the_prefill_has_used_the_last_retry(
+    cluster: RelayCluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    window = cluster.relays[0].relay.retries.for_service("engines")
+    grants = iter([True])
+    response = await begin_stream(cluster)
+    monkeypatch.setattr(window, "try_spend", lambda now: next(grants, False))
+    assert await events_of(response) == expected_stream()
+    assert len([run for item in cluster.runners.values() for run in item.runs]) == 1
+
+
 async def test_client_that_leaves_a_silent_stream_frees_all_slots(
     cluster: RelayCluster,
 ) -> None:
--- a/wasabimux/relay/stream_retries.py
+++ b/wasabimux/relay/stream_retries.py
@@ -103,4 +103,9 @@
             request.retry_charged = self.charge(request)
             return request.retry_charged
         request.retry_charged = self.may_retry(request)
-        return request.retry_charged and await standby.is_ready_before(step)
+        if not request.retry_charged or not await standby.is_ready_before(step):
+            return False
+        request.retry_charged = self.may_retry(request)  # a prefill may have used it
+        if not request.retry_charged:
+            standby.drop()
+        return request.retry_charged
