Keep the place in the queue of a stream whose silent engine breaks

The stream waited for a slot already, and as its engine broke it asked for a second one behind all others while the first request still waited. It now waits for the one that it has asked for. A preparation that was cancelled counts as none: asking for its error would have cancelled the request. The test failed before: two waits for one stream.

What follows a stream that has left its engine is a function of its own.

--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -125,6 +125,21 @@
     assert len([run for item in cluster.runners.values() for run in item.runs]) == 1
 
 
+async def test_stream_that_breaks_while_it_is_silent_keeps_its_place_in_the_queue(
+    cluster: RelayCluster,
+) -> None:
+    response = await begin_stream(cluster)
+    silent = engine_of(cluster)
+    refuse_reservations(cluster)
+    await asyncio.sleep(STALL_TIMEOUT_S + 0.5)
+    let_begin(cluster)
+    silent.crash()
+    await asyncio.sleep(0.1)
+    assert cluster.relays[0].relay.slots.waiting == 1
+    refuse_reservations(cluster, refuse=False)
+    assert await events_of(response) == expected_stream()
+
+
 async def test_client_that_leaves_a_silent_stream_frees_all_slots(
     cluster: RelayCluster,
 ) -> None:
--- a/wasabimux/relay/context.py
+++ b/wasabimux/relay/context.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncGenerator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from typing import Any, NamedTuple, Protocol
+from typing import TYPE_CHECKING, NamedTuple
 
 from wasabimux._digest import digest_of
 from wasabimux.adapters.memory_ledger import HeldBytes
@@ -27,6 +27,9 @@
     ServiceProfile,
 )
 
+if TYPE_CHECKING:
+    from wasabimux.relay.standby import StandbySlot
+
 #: Time reserved for returning the response to the client; taken off the client's
 #: deadline.
 RESPONSE_MARGIN_S = 0.03
@@ -48,20 +51,6 @@
     valid_until_s: float
 
 
-class Standby(Protocol):
-    """What a stream is left for if its engine is silent."""
-
-    async def is_ready_before(self, step: asyncio.Task[Any]) -> bool:
-        """Waits for a step of the silent engine, or until the stream can go elsewhere.
-
-        Returns:
-            True if the stream can go elsewhere, and the step is not done.
-        """
-
-    def drop(self) -> None:
-        """Ends the preparations, as the engine goes on."""
-
-
 @dataclass(slots=True, eq=False)
 class RelayRequest:
     """An admitted client request and the state of serving it.
@@ -96,7 +85,7 @@
         priority: Priority of the workspace, else of the route; 0 is the highest.
         is_in_line: True while it waits for a place at an upstream.
         is_on_trial: True if its first attempt goes to a new software version.
-        standby: What a silent engine is left for, None before the response.
+        standby: Slot for which a silent engine is left, None before the response.
     """
 
     metadata: RequestMetadata
@@ -125,7 +114,7 @@
     priority: int = 0
     is_in_line: bool = False
     is_on_trial: bool = False
-    standby: Standby | None = None
+    standby: StandbySlot | None = None
     _content_digest: str = ""
     _timeout: asyncio.Timeout | None = None
 
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -296,41 +296,37 @@
     ) -> AsyncGenerator[bytes, None]:
         """Yields the events of a stream across migrations and resumptions."""
         prepare = partial(self._prepare_slot, request)
-        standby = StandbySlot(request, prepare, self._release, self._recorder)
-        request.standby = standby
         try:
-            async with request.deadline_scope():
-                while True:
-                    stream, lost = active.stream, None
-                    with self._migrator.migratable(request, stream.slot) as candidate:
-                        try:
-                            async for data in self._forward_events(
-                                request, stream, progress
-                            ):
-                                yield data
-                        except UpstreamLost as error:
-                            lost = error
-                        may_be_stopped = (
-                            lost is not None or not stream.response.is_framed
-                        )
-                        migrated = await candidate.result(may_be_stopped)
-                    if candidate.is_unsettled and not stream.response.is_framed:
-                        lost = lost or StreamMismatch(
-                            "the stream was stopped", sent=True
-                        )
-                    if migrated is None and lost is None:
-                        self._on_complete(request, stream, progress)
-                        return
-                    active.close_stream()
-                    if migrated is not None:
-                        progress.was_stopped = True
-                        active.stream = await self._resume_migrated(
-                            request, migrated, progress, standby
-                        )
-                    else:
-                        self._on_broken(request, stream, progress, lost)
-                        active.stream = await self._resume_elsewhere(
-                            request, progress, standby
+            with StandbySlot(
+                request, prepare, self._release, self._recorder
+            ) as request.standby:
+                async with request.deadline_scope():
+                    while True:
+                        stream, lost = active.stream, None
+                        with self._migrator.migratable(
+                            request, stream.slot
+                        ) as candidate:
+                            try:
+                                async for data in self._forward_events(
+                                    request, stream, progress
+                                ):
+                                    yield data
+                            except UpstreamLost as error:
+                                lost = error
+                            is_framed = stream.response.is_framed
+                            migrated = await candidate.result(
+                                may_be_stopped=lost is not None or not is_framed
+                            )
+                        if candidate.is_unsettled and not is_framed:
+                            lost = lost or StreamMismatch(
+                                "the stream was stopped", sent=True
+                            )
+                        if migrated is None and lost is None:
+                            self._on_complete(request, stream, progress)
+                            return
+                        active.close_stream()
+                        active.stream = await self._next_stream(
+                            request, stream, migrated, lost, progress
                         )
         except RefusedError as error:
             self._recorder.record(
@@ -340,8 +336,29 @@
                 events=progress.events,
             )
             raise
-        finally:
-            standby.drop()
+
+    async def _next_stream(
+        self,
+        request: RelayRequest,
+        left: EngineStream,
+        migrated: MigratedStream | None,
+        lost: UpstreamLost | None,
+        progress: StreamProgress,
+    ) -> EngineStream:
+        """Goes on with a stream that has left its engine.
+
+        Args:
+            request: Request of the stream.
+            left: The stream at that engine, which is closed.
+            migrated: Where it was moved to, None if it was not.
+            lost: Why it has left if it was not moved.
+            progress: Position of the client.
+        """
+        if migrated is None:
+            self._on_broken(request, left, progress, lost)
+            return await self._resume_elsewhere(request, progress)
+        progress.was_stopped = True
+        return await self._resume_migrated(request, migrated, progress)
 
     async def _forward_events(
         self, request: RelayRequest, stream: EngineStream, progress: StreamProgress
@@ -390,11 +407,7 @@
         )
 
     async def _resume_migrated(
-        self,
-        request: RelayRequest,
-        migrated: MigratedStream,
-        progress: StreamProgress,
-        standby: StandbySlot,
+        self, request: RelayRequest, migrated: MigratedStream, progress: StreamProgress
     ) -> EngineStream:
         """Resumes a migrated stream in its new slot, or else at another engine."""
         slot = migrated.slot
@@ -409,17 +422,18 @@
             self._release(slot)
             raise
         self._release(slot)
-        return await self._resume_elsewhere(request, progress, standby)
+        return await self._resume_elsewhere(request, progress)
 
     async def _resume_elsewhere(
-        self, request: RelayRequest, progress: StreamProgress, standby: StandbySlot
+        self, request: RelayRequest, progress: StreamProgress
     ) -> EngineStream:
         """Resumes a stream at another engine, after the last event passed on."""
         if not request.route.resumable or not self._retries.may_retry(request):
             raise request.refusal_error(
                 ErrorCode.UPSTREAM_LOST, "the stream broke off and cannot be resumed"
             )
-        return await self._open_stream(request, progress, standby.take())
+        ready = await request.standby.take() if request.standby else None
+        return await self._open_stream(request, progress, ready)
 
     def _on_broken(
         self,
--- a/wasabimux/relay/standby.py
+++ b/wasabimux/relay/standby.py
@@ -70,17 +70,20 @@
         if self._preparing is None:
             self._preparing = asyncio.ensure_future(self._prepare_or_record())
         await asyncio.wait({step, self._preparing}, return_when=asyncio.FIRST_COMPLETED)
-        return not step.done() and self._preparing.exception() is None
+        return not step.done() and _has_succeeded(self._preparing)
 
-    def take(self) -> ReadySlot | None:
-        """Returns the slot, which its taker frees; None if it is not ready."""
+    async def take(self) -> ReadySlot | None:
+        """Returns the slot, which its taker frees, once it is ready.
+
+        Returns:
+            The slot; None if none was asked for, or none is to be had.
+        """
         preparing = self._preparing
-        if preparing is None or not preparing.done():
+        if preparing is None:
             return None
+        await asyncio.wait({preparing})
         self._preparing = None
-        if preparing.cancelled() or preparing.exception() is not None:
-            return None
-        return preparing.result()
+        return preparing.result() if _has_succeeded(preparing) else None
 
     def drop(self) -> None:
         """Frees the slot, or ends the wait for it."""
@@ -98,5 +101,10 @@
             raise
 
     def _free(self, preparing: asyncio.Task[ReadySlot]) -> None:
-        if not preparing.cancelled() and preparing.exception() is None:
+        if _has_succeeded(preparing):
             self._release(preparing.result().slot)
+
+
+def _has_succeeded(task: asyncio.Task[ReadySlot]) -> bool:
+    """Returns whether a task that is done has a result."""
+    return not task.cancelled() and task.exception() is None
