Stop no stream for a move that it could not go on without

The same cause: a stream that has used all attempts of its route was stopped to be moved off a full engine. If the new engine did not take it, nothing was left, and the answer was cut. Such a stream stays; its engine may preempt it, which ends no answer. The test failed before: connection closed.

--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -200,6 +200,26 @@
     assert len([run for item in cluster.runners.values() for run in item.runs]) == 1
 
 
+async def test_stream_without_attempts_left_is_not_stopped_for_a_move(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Regression: it was stopped, and cut as its new engine did not take it."""
+    monkeypatch.setattr(stream_migration, "MIGRATION_FILL_FRACTION", 0.0)
+    state = desired_state()
+    for route in state["routes"]:
+        route["maxAttempts"] = 1
+    async with relay_cluster(state=state) as cluster:
+        engines = [cluster.runners[name] for name in ("dec-1", "dec-2", "dec-3")]
+        for engine in engines:
+            engine.events = 30
+        async with await cluster.request(
+            "/gen/1", wasabimux_token_count=TOKEN_COUNTS
+        ) as response:
+            for engine in engines:
+                engine.faults.refuse_requests = True
+            assert await response.body() == expected_stream(30)
+
+
 async def test_phase_change_is_sent_only_after_peers_know(
     cluster: RelayCluster,
 ) -> None:
--- a/wasabimux/relay/moves.py
+++ b/wasabimux/relay/moves.py
@@ -115,10 +115,13 @@
     def migratable(
         self, request: RelayRequest, slot: DecodeSlot
     ) -> Generator[MigrationCandidate, None, None]:
-        """Permits migration of a stream within the context, if its route allows it."""
+        """Permits migration of a stream within the context, if it can go on elsewhere.
+
+        A move may fail after the stream was stopped, which takes another attempt.
+        """
         self._last_number += 1
         candidate = MigrationCandidate(self._last_number, request, slot)
-        if request.route.resumable:
+        if request.route.resumable and request.has_attempts_left():
             self._candidates[candidate.number] = candidate
         try:
             yield candidate
