Give up no engine before the first event without a slot elsewhere either

The same cause before an answer has begun: an engine that was silent for 1 s was left, and without a slot elsewhere the caller got 502 although the engine was about to answer. The slot is asked for in the same way; only if none comes in time is the engine left, and the caller told so, as before.

--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -82,6 +82,20 @@
     assert len([run for item in cluster.runners.values() for run in item.runs]) == 1
 
 
+async def test_stream_that_has_not_begun_is_not_given_up_before_another_has_a_slot(
+    cluster: RelayCluster,
+) -> None:
+    let_begin(cluster)
+    for name in ENGINES:
+        cluster.runners[name].faults.delay_s = STALL_TIMEOUT_S + 0.4
+    beginning = asyncio.ensure_future(begin_stream(cluster))
+    await cluster.wait_until(
+        lambda: any(cluster.runners[name].runs for name in ENGINES)
+    )
+    refuse_reservations(cluster)
+    assert await events_of(await beginning) == expected_stream()
+
+
 async def test_silent_stream_goes_on_elsewhere_once_there_is_a_slot(
     cluster: RelayCluster,
 ) -> None:
--- a/wasabimux/relay/context.py
+++ b/wasabimux/relay/context.py
@@ -85,7 +85,7 @@
         priority: Priority of the workspace, else of the route; 0 is the highest.
         is_in_line: True while it waits for a place at an upstream.
         is_on_trial: True if its first attempt goes to a new software version.
-        standby: Slot for which a silent engine is left, None before the response.
+        standby: Slot for which a stream leaves a silent engine, None for a call.
     """
 
     metadata: RequestMetadata
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -95,11 +95,15 @@
         Raises:
             RefusedError: The request was refused or failed before its first event.
         """
+        prepare = partial(self._prepare_slot, request)
+        standby = StandbySlot(request, prepare, self._release, self._recorder)
+        request.standby = standby
         async with request.deadline_scope():
             if request.metadata.last_event_id is not None:
                 await self._find_version(request)
             progress = self._begun_streams.progress_of(request)
-            stream = await self._open_stream(request, progress)
+            with standby:
+                stream = await self._open_stream(request, progress, standby)
         if request.route.resumable:
             self._begun_streams.add(request, progress, loop_time())
         headers = self._header_codec.response_headers(stream.response.headers)
@@ -108,7 +112,7 @@
         return HttpResponse(
             stream.response.status,
             headers,
-            self._response_body(request, active, progress),
+            self._response_body(request, active, progress, standby),
             on_done=lambda end: active.close_stream(),
         )
 
@@ -146,23 +150,19 @@
             )
 
     async def _open_stream(
-        self,
-        request: RelayRequest,
-        progress: StreamProgress,
-        ready: ReadySlot | None = None,
+        self, request: RelayRequest, progress: StreamProgress, standby: StandbySlot
     ) -> EngineStream:
         """Opens the stream at an engine; retries within the retry budget.
 
         Args:
             request: Request of the stream.
             progress: Position of the client, after which the stream starts.
-            ready: Slot for the first attempt, None to get one.
+            standby: Slot that the stream has asked for as its engine was silent.
         """
         while True:
             sent = len(request.tried_upstreams)
-            first, ready = ready, None
             try:
-                return await self._attempt(request, progress, first)
+                return await self._attempt(request, progress, await standby.take())
             except RefusedError:
                 if len(request.tried_upstreams) == sent or not self._retries.may_retry(
                     request
@@ -292,14 +292,15 @@
         return {engine.id for engine in engines}
 
     async def _response_body(
-        self, request: RelayRequest, active: ActiveStream, progress: StreamProgress
+        self,
+        request: RelayRequest,
+        active: ActiveStream,
+        progress: StreamProgress,
+        standby: StandbySlot,
     ) -> AsyncGenerator[bytes, None]:
         """Yields the events of a stream across migrations and resumptions."""
-        prepare = partial(self._prepare_slot, request)
         try:
-            with StandbySlot(
-                request, prepare, self._release, self._recorder
-            ) as request.standby:
+            with standby:
                 async with request.deadline_scope():
                     while True:
                         stream, lost = active.stream, None
@@ -308,7 +309,7 @@
                         ) as candidate:
                             try:
                                 async for data in self._forward_events(
-                                    request, stream, progress
+                                    request, stream, progress, standby
                                 ):
                                     yield data
                             except UpstreamLost as error:
@@ -326,7 +327,7 @@
                             return
                         active.close_stream()
                         active.stream = await self._next_stream(
-                            request, stream, migrated, lost, progress
+                            request, stream, migrated, lost, progress, standby
                         )
         except RefusedError as error:
             self._recorder.record(
@@ -344,6 +345,7 @@
         migrated: MigratedStream | None,
         lost: UpstreamLost | None,
         progress: StreamProgress,
+        standby: StandbySlot,
     ) -> EngineStream:
         """Goes on with a stream that has left its engine.
 
@@ -353,15 +355,20 @@
             migrated: Where it was moved to, None if it was not.
             lost: Why it has left if it was not moved.
             progress: Position of the client.
+            standby: Slot that it has asked for as its engine was silent.
         """
         if migrated is None:
             self._on_broken(request, left, progress, lost)
-            return await self._resume_elsewhere(request, progress)
+            return await self._resume_elsewhere(request, progress, standby)
         progress.was_stopped = True
-        return await self._resume_migrated(request, migrated, progress)
+        return await self._resume_migrated(request, migrated, progress, standby)
 
     async def _forward_events(
-        self, request: RelayRequest, stream: EngineStream, progress: StreamProgress
+        self,
+        request: RelayRequest,
+        stream: EngineStream,
+        progress: StreamProgress,
+        standby: StandbySlot,
     ) -> AsyncGenerator[bytes, None]:
         """Yields the events that one engine sends.
 
@@ -376,8 +383,8 @@
                 stream.slot.on_events(progress.events)
                 request.response_started = True
                 yield event.data
-            if request.standby is not None and stream.waited_s == 0.0:
-                request.standby.drop()
+            if stream.waited_s == 0.0:
+                standby.drop()
             stream.pending = []
             if stream.ended:
                 return
@@ -407,7 +414,11 @@
         )
 
     async def _resume_migrated(
-        self, request: RelayRequest, migrated: MigratedStream, progress: StreamProgress
+        self,
+        request: RelayRequest,
+        migrated: MigratedStream,
+        progress: StreamProgress,
+        standby: StandbySlot,
     ) -> EngineStream:
         """Resumes a migrated stream in its new slot, or else at another engine."""
         slot = migrated.slot
@@ -422,18 +433,17 @@
             self._release(slot)
             raise
         self._release(slot)
-        return await self._resume_elsewhere(request, progress)
+        return await self._resume_elsewhere(request, progress, standby)
 
     async def _resume_elsewhere(
-        self, request: RelayRequest, progress: StreamProgress
+        self, request: RelayRequest, progress: StreamProgress, standby: StandbySlot
     ) -> EngineStream:
         """Resumes a stream at another engine, after the last event passed on."""
         if not request.route.resumable or not self._retries.may_retry(request):
             raise request.refusal_error(
                 ErrorCode.UPSTREAM_LOST, "the stream broke off and cannot be resumed"
             )
-        ready = await request.standby.take() if request.standby else None
-        return await self._open_stream(request, progress, ready)
+        return await self._open_stream(request, progress, standby)
 
     def _on_broken(
         self,
--- a/wasabimux/relay/stream_retries.py
+++ b/wasabimux/relay/stream_retries.py
@@ -97,15 +97,20 @@
             task.cancel()
 
     async def _may_leave(self, request: RelayRequest, step: asyncio.Task[Any]) -> bool:
-        """Returns whether a stream leaves its silent engine before a step is done."""
-        standby = request.standby
-        if standby is None:
-            request.retry_charged = self.charge(request)
-            return request.retry_charged
-        request.retry_charged = self.may_retry(request)
-        if not request.retry_charged or not await standby.is_ready_before(step):
+        """Returns whether a stream leaves its silent engine before a step is done.
+
+        Without a slot elsewhere it leaves only while a refusal can still tell the
+        client.
+        """
+        assert request.standby is not None
+        has_begun = request.response_started
+        may_leave = self.may_retry if has_begun else self.charge
+        request.retry_charged = may_leave(request)
+        if not request.retry_charged:
             return False
+        if not await request.standby.is_ready_before(step):
+            return not (step.done() or has_begun)
         request.retry_charged = self.may_retry(request)  # a prefill may have used it
         if not request.retry_charged:
-            standby.drop()
+            request.standby.drop()
         return request.retry_charged
