One place for the sampled log lines of a connection

Four functions of the HTTP server had the same shape. The check that every event is documented looks for events in both ways of logging now, so it sees all that it saw.

--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -13,7 +13,9 @@
 )
 CONDITIONAL_EVENT = re.compile(r'"(domain_[a-z_]+)" if .* else "(domain_[a-z_]+)"')
 
-LOGGER_CALL = re.compile(r"""logger\.\w+\(\s*['"]event=([a-z_]+)""", re.MULTILINE)
+LOGGER_CALL = re.compile(
+    r"""(?:logger\.\w+|self\._log)\(\s*['"]event=([a-z_]+)""", re.MULTILINE
+)
 
 #: Folders of the relay's code.
 FOLDERS = ("relay", "platform", "link", "adapters")
--- a/wasabimux/adapters/http_server.py
+++ b/wasabimux/adapters/http_server.py
@@ -455,20 +455,10 @@
         """Drops what was received and not read, which an error may keep for long."""
         buffered = self._reader._buffer  # type: ignore[attr-defined]
         if buffered and not self._is_client_gone:
-            self._log_dropped(len(buffered))
+            last_id, size = self._written_request_id, len(buffered)
+            self._log("event=data_dropped request_id=%s bytes=%d", last_id, size)
         buffered.clear()
 
-    def _log_dropped(self, size: int) -> None:
-        """Logs data that was received, and is dropped with its connection."""
-        left_out = self._server.sampler.admit(loop_time())
-        if left_out is not None:
-            logger.warning(
-                "event=data_dropped request_id=%s bytes=%d left_out=%d",
-                self._written_request_id,
-                size,
-                left_out,
-            )
-
     def abort(self, end: ResponseEnd = ResponseEnd.FAILED) -> None:
         """Aborts the connection immediately.
 
@@ -493,14 +483,14 @@
 
     def _log_undelivered(self, size: int | str) -> None:
         """Logs how many bytes of a response that was written are lost."""
+        request_id = self._written_request_id
+        self._log("event=answer_undelivered request_id=%s bytes=%s", request_id, size)
+
+    def _log(self, text: str, *values: object) -> None:
+        """Logs a line, unless the connections of the server have logged too many."""
         left_out = self._server.sampler.admit(loop_time())
         if left_out is not None:
-            logger.warning(
-                "event=answer_undelivered request_id=%s bytes=%s left_out=%d",
-                self._written_request_id,
-                size,
-                left_out,
-            )
+            logger.warning(f"{text} left_out=%d", *values, left_out)
 
     def _prepare_next_request(self) -> bool:
         """Prepares for the next request; returns False if the connection must end.
@@ -648,11 +638,13 @@
             if not handling.done():
                 self._is_client_gone = True
                 handling.cancel()
-                self._log_unread(request)
+                self._log_unread(request.request_id)
             await asyncio.wait({handling})
             if handling.cancelled():
                 if not self._is_client_gone:
-                    self._log_cancelled(request)
+                    self._log(
+                        "event=handler_cancelled request_id=%s", request.request_id
+                    )
                 self.abort()
             elif (error := handling.exception()) is not None:
                 disconnect.cancel()
@@ -674,27 +666,11 @@
             await self.finish()
         self.abort()
 
-    def _log_unread(self, request: HttpRequest) -> None:
+    def _log_unread(self, request_id: str) -> None:
         """Logs what a client that has left sent behind the request that it left."""
         size = len(self._http.trailing_data[0])
-        left_out = self._server.sampler.admit(loop_time()) if size else None
-        if left_out is not None:
-            logger.warning(
-                "event=data_unread request_id=%s bytes=%d left_out=%d",
-                request.request_id,
-                size,
-                left_out,
-            )
-
-    def _log_cancelled(self, request: HttpRequest) -> None:
-        """Logs a request that has no answer, although its client has not left."""
-        left_out = self._server.sampler.admit(loop_time())
-        if left_out is not None:
-            logger.warning(
-                "event=handler_cancelled request_id=%s left_out=%d",
-                request.request_id,
-                left_out,
-            )
+        if size:
+            self._log("event=data_unread request_id=%s bytes=%d", request_id, size)
 
     async def _wait_for_disconnect(self) -> None:
         """Returns once the client has closed its side of the connection."""
