--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -67,8 +67,8 @@
         cluster.runners[name].faults.refuse_reservations = refuse
 
 
-def let_begin(cluster: RelayCluster) -> None:
-    """Makes the engines send the streams that begin from now on without a pause."""
+def stall_no_new_streams(cluster: RelayCluster) -> None:
+    """Makes the engines send streams that begin from now on without a stall."""
     for name in ENGINES:
         cluster.runners[name].faults.stall_after_events = None
 
@@ -85,7 +85,7 @@
 async def test_stream_that_has_not_begun_is_not_given_up_before_another_has_a_slot(
     cluster: RelayCluster,
 ) -> None:
-    let_begin(cluster)
+    stall_no_new_streams(cluster)
     for name in ENGINES:
         cluster.runners[name].faults.delay_s = STALL_TIMEOUT_S + 0.4
     beginning = asyncio.ensure_future(begin_stream(cluster))
@@ -102,7 +102,7 @@
     for name in ENGINES:
         cluster.runners[name].faults.stall_s = None
     response = await begin_stream(cluster)
-    let_begin(cluster)
+    stall_no_new_streams(cluster)
     refuse_reservations(cluster)
     await asyncio.sleep(STALL_TIMEOUT_S + 0.5)
     refuse_reservations(cluster, refuse=False)
@@ -146,7 +146,7 @@
     silent = engine_of(cluster)
     refuse_reservations(cluster)
     await asyncio.sleep(STALL_TIMEOUT_S + 0.5)
-    let_begin(cluster)
+    stall_no_new_streams(cluster)
     silent.crash()
     await asyncio.sleep(0.1)
     assert cluster.relays[0].relay.slots.waiting == 1
@@ -171,7 +171,7 @@
 async def test_moved_stream_is_not_given_up_while_its_new_engine_is_silent(
     cluster: RelayCluster, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    let_begin(cluster)
+    stall_no_new_streams(cluster)
     for name in ENGINES:
         cluster.runners[name].events = 100
     response = await begin_stream(cluster)
