Tell a refusal of a stream that had a slot apart in the log

An engine that refuses a stream in spite of a slot may change its phase, or the slot has lapsed, or the KV cache is gone: the line said none of it. It says the slot's age, whether it was reserved, and whether the KV cache was sent.

--- a/wasabimux/relay/stream_start.py
+++ b/wasabimux/relay/stream_start.py
@@ -100,7 +100,14 @@
             request.prefilled_kv = prefilled_kv  # no engine has fetched it
             engine.on_not_executed(response.status, loop_time())
             self._recorder.record_answer(
-                request, "not_executed", engine, response.status, metadata
+                request,
+                "not_executed",
+                engine,
+                response.status,
+                metadata,
+                slot_ms=round((loop_time() - slot.acquired_s) * 1000),
+                reserved=bool(slot.reservation),
+                has_kv=prefilled_kv is not None,
             )
             raise request.refusal_error(
                 ErrorCode.OVERLOADED,
