--- a/wasabimux/platform/standins/runner.py
+++ b/wasabimux/platform/standins/runner.py
@@ -65,6 +65,8 @@
         delay_s: Delay before each response, in s.
         control_delay_s: Delay before each answer to a control call, in s.
         refuse_reservations: True to refuse slot reservations.
+        phase_change_s: Time in s that a change of phase takes, in which the runner
+            refuses requests, also those with a reservation.
         stall_after_events: Number of events after which responses send only comments;
             None for complete responses.
         stall_s: Time in s after which a stalled response goes on; None for never.
@@ -95,6 +97,7 @@
     delay_s: float = 0.0
     control_delay_s: float = 0.0
     refuse_reservations: bool = False
+    phase_change_s: float = 0.0
     fail_kv_cache_copies: bool = False
     crashing_part: str = ""
     crashing_body: bytes = b""
@@ -116,6 +119,7 @@
         reservations: Slot reservations that are neither used nor released.
         kv_cache_handles: Handles of retained KV caches.
         phase_change_commands: Phase change commands in order of arrival.
+        phase_changes: Changes of phase that go on.
     """
 
     runs: list[RunRecord] = field(default_factory=list)
@@ -123,6 +127,7 @@
     reservations: set[str] = field(default_factory=set)
     kv_cache_handles: set[str] = field(default_factory=set)
     phase_change_commands: list[dict[str, Any]] = field(default_factory=list)
+    phase_changes: set[asyncio.Task[None]] = field(default_factory=set)
 
 
 class StandInRunner:
@@ -142,6 +147,7 @@
         faults: Faults to inject.
         software: Version of its software.
         received: Number of requests and control calls received.
+        refused: Number of requests refused with 503.
         state: Requests received, and reservations and KV caches retained.
         crashed: True after a crash, until the runner is restarted.
         frozen: True while it answers nothing, until it is restarted.
@@ -164,6 +170,7 @@
         self.faults = RunnerFaults()
         self.software = "v1"
         self.received = 0
+        self.refused = 0
         self.state = _RunnerState()
         self.crashed = False
         self.frozen = False
@@ -179,6 +186,13 @@
 
     async def __aexit__(self, *exc_info: object) -> None:
         self._server.close()
+        for change in self.state.phase_changes:
+            change.cancel()
+
+    @property
+    def is_changing_phase(self) -> bool:
+        """True while a change of phase goes on."""
+        return bool(self.state.phase_changes)
 
     @property
     def runs(self) -> list[RunRecord]:
@@ -227,6 +241,19 @@
         """Cuts every stream that runs now in the middle of an event."""
         self._aborted_runs = self.state.runs[:]
 
+    def begin_phase_change(self, phase: str) -> None:
+        """Begins to change the phase, as ordered by a relay."""
+        if self.faults.phase_change_s == 0.0:
+            self.phase = phase
+            return
+        change = asyncio.ensure_future(self._change_phase(phase))
+        self.state.phase_changes.add(change)
+        change.add_done_callback(self.state.phase_changes.discard)
+
+    async def _change_phase(self, phase: str) -> None:
+        await asyncio.sleep(self.faults.phase_change_s)
+        self.phase = phase
+
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         response = await self._respond(request)
         if self.faults.leaving:
@@ -247,7 +274,8 @@
         expected = headers.get(header_names.EXPECT_INSTANCE, b"").decode()
         if expected != self.id:
             return _not_executed(421, headers)
-        if self.faults.refuse_requests:
+        if self.faults.refuse_requests or self.is_changing_phase:
+            self.refused += 1
             await asyncio.sleep(self.faults.delay_s)
             return _not_executed(503, headers)
         return await self._run(headers, body)
@@ -264,11 +292,12 @@
             return self._migrate(json.loads(body)["id"])
         if request.path == "/v1/order":
             state.phase_change_commands.append(json.loads(body))
-            self.phase = state.phase_change_commands[-1]["phase"]
+            self.begin_phase_change(state.phase_change_commands[-1]["phase"])
             return json_response(202, {})
         if request.path == "/v1/report":
             report = {"inFlight": 0, "queued": 0, "kvUsed": 0, "held": 0}
-            report |= {"sequence": len(state.phase_change_commands), "busy": False}
+            report |= {"sequence": len(state.phase_change_commands)}
+            report |= {"busy": self.is_changing_phase}
             return json_response(200, report)
         resource, _, name = request.path.removeprefix("/v1/").partition("/")
         (
