Keep an engine that changes its phase out of use until the engine says it is done

Cause: the end of a change was a time (announcement, change and cooldown, 9 s), but an engine first ends what it runs. Only the relay that gave the order knew of it: it took the mark back when it found the engine busy with an order of an earlier leader, and with its end the mark was gone.

Now the engine tells: the mark stays while its report shows an order, until its entry shows the new phase (60 s at most). A relay whose stream is refused looks at the report too, so that the mark outlives the leader. No further change is planned while one goes on, which is what the plan was made for.

--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -18,6 +18,7 @@
 from wasabimux.relay.engine_stream import ActiveStream, EngineStream, StreamProgress
 from wasabimux.relay.model import Phase
 from wasabimux.relay.moves import MigratedStream, StreamMigrator
+from wasabimux.relay.phase_watch import PhaseChangeWatch
 from wasabimux.relay.placing import UpstreamSelector
 from wasabimux.relay.ports import HeaderCodec
 from wasabimux.relay.prefill import PrefillDispatcher
@@ -49,6 +50,7 @@
         selector: Tells which engines may take requests.
         slot_scheduler: Reserves decode slots.
         migrator: Migrates streams off engines whose memory is nearly full.
+        phase_watch: Learns which engines refuse streams that have a slot.
         quarantine: Refuses requests on which engines crash.
         rollouts: Learns how software versions answer.
         stream_records: Knows the software versions of streams.
@@ -65,6 +67,7 @@
         selector: UpstreamSelector,
         slot_scheduler: SlotScheduler,
         migrator: StreamMigrator,
+        phase_watch: PhaseChangeWatch,
         quarantine: RequestQuarantine,
         rollouts: Rollouts,
         stream_records: StreamRecords,
@@ -86,7 +89,9 @@
         self._stream_records = stream_records
         self._header_codec = header_codec
         self._retries = StreamRetries(quarantine, budgets, recorder)
-        self._starter = StreamStarter(quarantine, self._retries, answers, recorder)
+        self._starter = StreamStarter(
+            quarantine, self._retries, phase_watch, answers, recorder
+        )
         self._begun_streams = BegunStreams()
 
     async def serve(self, request: RelayRequest) -> HttpResponse:
--- a/wasabimux/relay/phases.py
+++ b/wasabimux/relay/phases.py
@@ -15,8 +15,9 @@
 from wasabimux.relay.leader_lease import LeaderLease
 from wasabimux.relay.mesh import Mesh
 from wasabimux.relay.model import Phase, ServiceProfile
+from wasabimux.relay.phase_watch import REPORT_LAG_S, PhaseChangeWatch
 from wasabimux.relay.placing import UpstreamSelector
-from wasabimux.relay.ports import EngineCodec, EngineReport, PhaseChangeCommand
+from wasabimux.relay.ports import EngineCodec, PhaseChangeCommand
 from wasabimux.relay.upstreams import Upstream
 from wasabimux.relay.view import FleetView
 from wasabimux.timeline import Timeline
@@ -54,6 +55,7 @@
         estimates: Estimated cost of streams.
         mesh: Links to the other relays.
         engines: Encodes calls to engines.
+        watch: Keeps engines out of use while they change.
         timeline: Records phase change commands.
     """
 
@@ -65,6 +67,7 @@
         estimates: StreamEstimates,
         mesh: Mesh,
         engines: EngineCodec,
+        watch: PhaseChangeWatch,
         timeline: Timeline,
     ) -> None:
         self._lease = lease
@@ -73,6 +76,7 @@
         self._estimates = estimates
         self._mesh = mesh
         self._engines = engines
+        self._watch = watch
         self._timeline = timeline
         self._cooldown_until_s: dict[str, float] = {}
         self._agreeing_checks: dict[PhaseChange, int] = {}
@@ -112,6 +116,8 @@
     ) -> PhaseChange | None:
         assert service.engine is not None
         candidates = self._selector.usable(service.name, now, [])
+        if any(self._selector.is_changing_phase(item, now) for item in candidates):
+            return None  # engines change one at a time
         engines = [
             EngineAssignment(
                 item.id,
@@ -150,8 +156,11 @@
         engine.phase_change_until_s = loop_time() + ANNOUNCE_DELAY_S + cooldown_s
         self._mesh.notify_usage_changed()
         await asyncio.sleep(ANNOUNCE_DELAY_S)
-        report = await self._fetch_report(engine)
-        if report is None or report.busy or not await self.hold_lease():
+        report = await self._watch.fetch_report(engine)
+        if report is not None and report.busy:
+            self._watch.on_ordered(engine, 0.0)  # an order of an earlier leader
+            return
+        if report is None or not await self.hold_lease():
             engine.phase_change_until_s = 0.0
             return
         command = PhaseChangeCommand(
@@ -163,23 +172,18 @@
         )
         try:
             status, _ = await engine.call(self._engines.phase_change(command))
-            if status not in COMMAND_ACCEPTED_STATUSES:
+            if status in COMMAND_ACCEPTED_STATUSES:
+                self._watch.on_ordered(engine, REPORT_LAG_S)
+            else:
                 engine.phase_change_until_s = 0.0
         except UpstreamLost as error:
             cooldown_s = LOST_COMMAND_S  # the engine may still execute the command
+            self._watch.on_ordered(engine, LOST_COMMAND_S)
             self._record_order(command, 0, error)
         else:
             self._record_order(command, status, "")
         self._cooldown_until_s[service.name] = loop_time() + cooldown_s
 
-    async def _fetch_report(self, engine: Upstream) -> EngineReport | None:
-        """Fetches the load report of an engine, None if it is unavailable."""
-        try:
-            return self._engines.read_report(*await engine.call(self._engines.report()))
-        except UpstreamLost as error:
-            self._timeline.record("report_lost", upstream=engine.id, error=error)
-            return None
-
     def _record_order(
         self, command: PhaseChangeCommand, status: int, error: object
     ) -> None:
--- a/wasabimux/relay/placing.py
+++ b/wasabimux/relay/placing.py
@@ -179,15 +179,19 @@
         """
 
         def suits(item: Upstream) -> bool:
-            peers_changing_phase = self.peer_load(item.id).changing_phase
-            changing_phase = item.phase_change_until_s > now or peers_changing_phase
             is_fitting = software is None or item.record.software == software
-            return item.phase is phase and not changing_phase and is_fitting
+            is_ready = item.phase is phase and not self.is_changing_phase(item, now)
+            return is_ready and is_fitting
 
         candidates = self.usable(service, now, avoid, suits)
         healthy = [item for item in candidates if not self._is_avoided_by_peers(item)]
         return healthy or candidates
 
+    def is_changing_phase(self, engine: Upstream, now: float) -> bool:
+        """Returns whether this relay or a peer knows that an engine is changing."""
+        peers_know = self.peer_load(engine.id).changing_phase
+        return engine.phase_change_until_s > now or bool(peers_know)
+
     def pause_left_s(
         self,
         service: str,
--- a/wasabimux/relay/relay.py
+++ b/wasabimux/relay/relay.py
@@ -55,6 +55,7 @@
 from wasabimux.relay.notices import NoticeRecorder
 from wasabimux.relay.object_watcher import ObjectWatcher
 from wasabimux.relay.owners import SlotArbiter
+from wasabimux.relay.phase_watch import PhaseChangeWatch
 from wasabimux.relay.phases import PhaseController
 from wasabimux.relay.placing import UpstreamSelector
 from wasabimux.relay.plain import PlainCallHandler
@@ -258,10 +259,14 @@
         self._stream_migrator = StreamMigrator(
             self.selector, self.slots, platform.engine_codec, records
         )
+        self._phase_watch = PhaseChangeWatch(
+            platform.engine_codec, timeline, self.mesh.notify_usage_changed
+        )
         self._generation_handler = GenerationHandler(
             self.selector,
             self.slots,
             self._stream_migrator,
+            self._phase_watch,
             self.quarantine,
             self.rollouts,
             self.stream_records,
@@ -326,6 +331,7 @@
             estimates,
             self.mesh,
             platform.engine_codec,
+            self._phase_watch,
             timeline,
         )
         self._tasks: list[asyncio.Task[Any]] = []
@@ -336,6 +342,7 @@
 
     def __exit__(self, *exc_info: object) -> None:
         self._cancel_tasks()
+        self._phase_watch.__exit__()
         self.quarantine.__exit__()
         self.stream_records.__exit__()
         self.links.__exit__()
--- a/wasabimux/relay/stream_start.py
+++ b/wasabimux/relay/stream_start.py
@@ -9,6 +9,7 @@
 from wasabimux.relay.answers import AnswerReceiver, UpstreamAnswer
 from wasabimux.relay.context import PrefilledKv, RelayRequest
 from wasabimux.relay.engine_stream import EngineStream, StreamProgress
+from wasabimux.relay.phase_watch import PhaseChangeWatch
 from wasabimux.relay.quarantine import RequestQuarantine
 from wasabimux.relay.records import RequestEventRecorder
 from wasabimux.relay.slots import DecodeSlot
@@ -27,6 +28,7 @@
     Args:
         quarantine: Learns which requests engines lost before they began.
         retries: Ends the wait for an engine that stalls.
+        phase_watch: Learns which engines refuse streams that have a slot.
         answers: Sends requests and receives their answers.
         recorder: Records failed starts.
     """
@@ -35,11 +37,13 @@
         self,
         quarantine: RequestQuarantine,
         retries: StreamRetries,
+        phase_watch: PhaseChangeWatch,
         answers: AnswerReceiver,
         recorder: RequestEventRecorder,
     ) -> None:
         self._quarantine = quarantine
         self._retries = retries
+        self._phase_watch = phase_watch
         self._answers = answers
         self._recorder = recorder
 
@@ -99,6 +103,7 @@
             slot.request_sent = False
             request.prefilled_kv = prefilled_kv  # no engine has fetched it
             engine.on_not_executed(response.status, loop_time())
+            self._phase_watch.on_refused(engine)
             self._recorder.record_answer(
                 request,
                 "not_executed",
