Ask an engine for its report only after it has refused two streams with a slot

One refusal proves little, a slot or a KV cache may have lapsed, and a report has a price, so two within 5 s are asked about now.

--- a/wasabimux/relay/phase_watch.py
+++ b/wasabimux/relay/phase_watch.py
@@ -27,6 +27,10 @@
 #: Time by which the entry of an engine shows its new phase after its report does, in s.
 ENTRY_LAG_S = 3.0
 
+#: Time in s between two refusals in spite of a slot that an engine is asked about. One
+#: alone may come of a slot that has lapsed.
+REFUSALS_WITHIN_S = 5.0
+
 #: Time without a report after which an engine is not watched any more, in s.
 MAX_SILENCE_S = 5.0
 
@@ -51,6 +55,7 @@
         self._timeline = timeline
         self._on_marked = on_marked
         self._watch_by_id: dict[UpstreamId, asyncio.Task[None]] = {}
+        self._refused_s_by_id: dict[UpstreamId, float] = {}
 
     def __enter__(self) -> PhaseChangeWatch:
         return self
@@ -69,9 +74,20 @@
         """
         self._start(engine, loop_time() + max_delay_s)
 
-    def on_refused(self, engine: Upstream) -> None:
-        """Looks whether an engine that refused a stream with a slot is changing."""
-        if engine.phase is not None and engine.id not in self._watch_by_id:
+    def on_refused(self, engine: Upstream, now: float) -> None:
+        """Looks whether an engine that refuses streams with a slot is changing.
+
+        Args:
+            engine: The engine.
+            now: Current time in s.
+        """
+        refused_s_by_id = {
+            item: refused_s
+            for item, refused_s in self._refused_s_by_id.items()
+            if now - refused_s <= REFUSALS_WITHIN_S
+        }
+        self._refused_s_by_id = refused_s_by_id | {engine.id: now}
+        if engine.id in refused_s_by_id and engine.id not in self._watch_by_id:
             self._start(engine, None)
 
     async def fetch_report(self, engine: Upstream) -> EngineReport | None:
--- a/wasabimux/relay/stream_start.py
+++ b/wasabimux/relay/stream_start.py
@@ -103,7 +103,7 @@
             slot.request_sent = False
             request.prefilled_kv = prefilled_kv  # no engine has fetched it
             engine.on_not_executed(response.status, loop_time())
-            self._phase_watch.on_refused(engine)
+            self._phase_watch.on_refused(engine, loop_time())
             self._recorder.record_answer(
                 request,
                 "not_executed",
