Take an unframed answer that ends within the upload for incomplete

Reported for other systems: an upstream answered a long upload at once with a 200 that had no length, sent a part of the body and broke off while the upload was being written; the caller got the part as a whole answer. It could happen here if the upstream closed its sending side before the reset: the end of the connection was the end of the body, whatever was left of the request. A reset alone was told apart before.

An end of data now ends an answer without a length only if the upstream has all of the request and has not reset the connection.

--- a/wasabimux/adapters/http_client.py
+++ b/wasabimux/adapters/http_client.py
@@ -11,6 +11,7 @@
 
 import h11
 
+from wasabimux.adapters.delivery import undelivered_bytes
 from wasabimux.adapters.http_receiver import READ_BYTES, HttpReceiver, limit_reads
 from wasabimux.adapters.turns import Turn
 from wasabimux.ports import Headers, UpstreamLost
@@ -118,6 +119,7 @@
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
+                self._check_end()
                 self._complete = True
                 return
             else:
@@ -125,6 +127,18 @@
                     "connection closed before the end of the response", sent=True
                 )
 
+    def _check_end(self) -> None:
+        """Checks that the end of the connection is the end of the response.
+
+        Raises:
+            UpstreamLost: The upstream has ended it within the request, so that nothing
+                tells if the response is whole.
+        """
+        if not self.is_framed and self._connection.has_ended_within_request():
+            raise UpstreamLost(
+                "connection closed before the end of the request", sent=True
+            )
+
     async def body(
         self,
         hold: Callable[[int], bool] = lambda size: True,
@@ -444,6 +458,15 @@
         except (OSError, h11.RemoteProtocolError) as error:
             raise UpstreamLost(str(error), sent=True) from error
 
+    def has_ended_within_request(self) -> bool:
+        """Returns whether the server has ended the connection before the request.
+
+        It has not acknowledged all of it, or has reset the connection.
+        """
+        if not self._reader.at_eof():
+            return False
+        return self._has_unsent_data() or has_undelivered_data(self._writer)
+
     def read_large_pieces(self) -> None:
         """Lets more of the current response be read at once."""
         limit_reads(self._writer.transport, LARGE_BODY_READ_BYTES)
@@ -508,6 +531,15 @@
         return self._writer.transport.get_write_buffer_size() > 0
 
 
+def has_undelivered_data(writer: asyncio.StreamWriter) -> bool:
+    """Returns whether the peer lacks something, or has reset the connection."""
+    connection: socket.socket | None = writer.get_extra_info("socket")
+    if connection is None or connection.fileno() < 0:
+        return True
+    was_reset = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+    return was_reset or undelivered_bytes(writer) > 0
+
+
 def has_unread_data(writer: asyncio.StreamWriter) -> bool:
     """Returns whether data or the end of a connection waits in its socket buffer."""
     connection: socket.socket | None = writer.get_extra_info("socket")
