Take an answer with a version or a status that is none of HTTP/1 for none

Reported for other systems: an upstream in trouble sent the status 000, and the caller got it as an answer. 000 and 099 were refused here before (the parser knows no such status); statuses above 599 and the versions 0.9 and 2.0 were passed on to callers. They count as a lost answer now, so a call that may repeat goes elsewhere, and another one is answered 502 with ran: unknown.

--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -1,4 +1,4 @@
-"""Upstreams that answer within an upload and break off."""
+"""Upstreams that answer within an upload and break off, or with an odd first line."""
 
 from __future__ import annotations
 
@@ -12,12 +12,15 @@
 import pytest
 import pytest_asyncio
 
+from tests.raw_upstream import RawRequest, RawUpstream, answer, raw_upstream
 from tests.relay_fixtures import RelayCluster, relay_cluster
 from tests.test_endless_upstreams import CountingStream, call_worker
+from wasabimux.adapters.http_client import HttpClient
 from wasabimux.adapters.service_client import ServiceClient
 from wasabimux.errors import RefusedError
 from wasabimux.link.messages import OpenStream, Operation
 from wasabimux.link.stream import LinkStream
+from wasabimux.ports import UpstreamLost
 
 HEAD_END = b"\r\n\r\n"
 
@@ -29,6 +32,18 @@
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 DESKS = ("desk-1", "desk-2")
+DECODERS = ("dec-1", "dec-2", "dec-3")
+
+#: First lines of which none begins an answer of HTTP/1.
+ODD_LINES = [
+    b"HTTP/1.1 000 Trouble",
+    b"HTTP/1.1 000",
+    b"HTTP/1.1 099 Low",
+    b"HTTP/1.1 600 High",
+    b"HTTP/1.1 999 High",
+    b"HTTP/0.9 200 OK",
+    b"HTTP/2.0 200 OK",
+]
 
 
 class EarlyServer:
@@ -146,3 +161,36 @@
         with pytest.raises(RefusedError):
             await call_worker(client).call(cast(LinkStream, CountingStream()), message)
     assert server.answered
+
+
+@pytest.mark.parametrize("line", ODD_LINES)
+async def test_odd_first_line_is_no_answer(line: bytes) -> None:
+    upstream = RawUpstream(lambda request: line + b"\r\ncontent-length: 2\r\n\r\nhi")
+    listener = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
+    async with listener, HttpClient(*listener.sockets[0].getsockname()) as client:
+        with pytest.raises(UpstreamLost):
+            await client.request("POST", "/", idempotent=False)
+
+
+@pytest.mark.parametrize("line", ODD_LINES)
+@pytest.mark.parametrize(
+    ("path", "replaced"),
+    [("/safe/1", DESKS), ("/unsafe/1", DESKS), ("/once/1", DECODERS)],
+)
+async def test_odd_first_line_is_not_passed_on(
+    cluster: RelayCluster, path: str, replaced: tuple[str, ...], line: bytes
+) -> None:
+    def write(request: RawRequest) -> bytes:
+        if not request.id:
+            return answer(200, None, b'{"hold":"h"}')
+        whole = answer(200, request.id, b"id: 1\ndata: 1\n\n", signed=True)
+        return line + whole[whole.index(b"\r\n") :]
+
+    async with raw_upstream(cluster, replaced, RawUpstream(write)) as upstream:
+        async with await cluster.request(
+            path, wasabimux_token_count="100,60"
+        ) as response:
+            body = await response.body()
+    assert any(request.id for request in upstream.requests)
+    assert response.status == 502
+    assert b'"ran": "unknown"' in body
--- a/wasabimux/adapters/http_client.py
+++ b/wasabimux/adapters/http_client.py
@@ -31,6 +31,10 @@
 #: Names given by responses of a connection by which a repeated one is known.
 MAX_GIVEN_NAMES = 16
 
+#: First digit of the HTTP versions that are spoken, and the highest status of them.
+HTTP_MAJOR_VERSION = b"1."
+MAX_STATUS = 599
+
 #: Most interim responses before the final one.
 MAX_INTERIM_RESPONSES = 8
 
@@ -444,6 +448,7 @@
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self.next_event()
             if isinstance(event, h11.Response):
+                _check_first_line(event)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise UpstreamLost(
@@ -531,6 +536,17 @@
         return self._writer.transport.get_write_buffer_size() > 0
 
 
+def _check_first_line(head: h11.Response) -> None:
+    """Checks the version and the status of a response.
+
+    Raises:
+        UpstreamLost: They are none of HTTP/1.
+    """
+    is_spoken = head.http_version.startswith(HTTP_MAJOR_VERSION)
+    if not is_spoken or head.status_code > MAX_STATUS:
+        raise UpstreamLost("the first line is none of HTTP/1", sent=True)
+
+
 def has_undelivered_data(writer: asyncio.StreamWriter) -> bool:
     """Returns whether the peer lacks something, or has reset the connection."""
     connection: socket.socket | None = writer.get_extra_info("socket")
