Let a stream that has begun wait for a slot for as long as its caller does

Found by the soak of changes with engines that refuse: a stream that had to go on elsewhere was cut after 1.7 s without a slot, with 6.8 s left ("no decode slot came free in time").

Cause: the wait ended shortly before a caller is expected to leave. That serves a stream that has not begun, as its refusal tells the caller when to come back; one that has begun can only be cut. It waits until its time limit now, and ends as its caller leaves. The new test fails without the change.

--- a/tests/test_refusing_engines.py
+++ b/tests/test_refusing_engines.py
@@ -212,3 +212,18 @@
     refused_by = [item for item in others(cluster, source) if item.refused]
     assert len(refused_by) == 1
     assert relay.slots.waiting == 0
+
+
+async def test_broken_stream_waits_for_a_slot_for_as_long_as_its_client_does(
+    cluster: RelayCluster,
+) -> None:
+    for name in ENGINES:
+        cluster.runners[name].events = 60
+    response = await begin_stream(cluster)
+    for engine in others(cluster, engine_of(cluster)):
+        engine.faults.refuse_reservations = True
+    engine_of(cluster).crash()
+    await asyncio.sleep(5.0)
+    for name in ENGINES:
+        cluster.runners[name].faults.refuse_reservations = False
+    assert await events_of(response) == expected_stream(60)
--- a/wasabimux/relay/slots.py
+++ b/wasabimux/relay/slots.py
@@ -174,12 +174,10 @@
         """
         now = loop_time()
         since_s = request.arrived_s
-        if request.response_started:
-            since_s = now  # the client has events already and waits for the next one
-        until_s = min(
-            since_s + MAX_WAIT_FRACTION * request.route.client_idle_timeout_s,
-            request.deadline_s,
-        )
+        max_wait_s = MAX_WAIT_FRACTION * request.route.client_idle_timeout_s
+        until_s = min(since_s + max_wait_s, request.deadline_s)
+        if request.response_started:  # it can only be cut; its client tells when to end
+            since_s, until_s = now, request.deadline_s
         refusal = self._pause_refusal(request, until_s, now)
         if refusal is not None:
             raise refusal
