Cut no stream because the engines of its version are changing their phase

The check asked for engines that take streams now. An engine that is full or changing counts now, as the stream can wait for it; without any that it may go to, it is still refused at once. The new test fails without the change.

--- a/tests/test_changes_beside_requests.py
+++ b/tests/test_changes_beside_requests.py
@@ -33,6 +33,11 @@
 #: Fraction of the engines that refuse slots.
 REFUSING_FRACTION = 0.6
 
+#: Chance of an engine to begin a change of phase beside one of the desired state, and
+#: the longest time in s that it takes.
+PHASE_CHANGE_CHANCE = 0.15
+MAX_PHASE_CHANGE_S = 1.5
+
 PATHS = ("/safe/1", "/unsafe/1", "/gen/1", "/once/1", "/nowhere/1")
 
 
@@ -126,8 +131,20 @@
     return outcomes
 
 
-async def change_in_series(cluster: RelayCluster, rng: random.Random) -> None:
-    """Changes the desired state, and which engines are silent or full."""
+def change_phases(cluster: RelayCluster, rng: random.Random) -> None:
+    """Lets some engines refuse requests, as if another relay had ordered a change."""
+    for runner in cluster.runners.values():
+        if runner.phase is None or runner.is_changing_phase:
+            continue
+        if rng.random() < PHASE_CHANGE_CHANCE:
+            runner.faults.phase_change_s = rng.uniform(0.1, MAX_PHASE_CHANGE_S)
+            runner.begin_phase_change(runner.phase)
+
+
+async def change_in_series(
+    cluster: RelayCluster, rng: random.Random, with_phases: bool
+) -> None:
+    """Changes the desired state, and which engines are silent, full or refuse."""
     for version in range(2, 2 + CHANGES):
         await cluster.store.put("config", "main", changed_state(version, rng))
         for runner in cluster.runners.values():
@@ -135,11 +152,21 @@
             runner.faults.refuse_reservations = rng.random() < REFUSING_FRACTION
             runner.faults.stall_after_events = rng.choice([None, 2])
             runner.faults.stall_s = SILENCE_S
+        if with_phases:
+            change_phases(cluster, rng)
         await asyncio.sleep(rng.uniform(0, CHANGE_PAUSE_S))
+    if (
+        with_phases
+    ):  # a stream may go to two engines only, and these are not full for good
+        for runner in cluster.runners.values():
+            runner.faults.refuse_reservations = False
 
 
+@pytest.mark.parametrize("with_phases", [False, True])
 @pytest.mark.parametrize("seed", SEEDS)
-async def test_no_request_beside_changes_is_left_without_an_answer(seed: int) -> None:
+async def test_no_request_beside_changes_is_left_without_an_answer(
+    seed: int, with_phases: bool
+) -> None:
     rng = random.Random(seed)
     are_changes_over = asyncio.Event()
     async with relay_cluster() as cluster:
@@ -148,7 +175,7 @@
             for index in range(CLIENTS)
         ]
         sending = asyncio.gather(*clients)
-        await change_in_series(cluster, rng)
+        await change_in_series(cluster, rng, with_phases)
         are_changes_over.set()
         outcomes = [outcome for sent in await sending for outcome in sent]
     assert [item for item in outcomes if item.error] == []
--- a/tests/test_refusing_engines.py
+++ b/tests/test_refusing_engines.py
@@ -214,6 +214,21 @@
     assert relay.slots.waiting == 0
 
 
+async def test_stream_is_not_cut_while_all_its_engines_change_their_phase(
+    cluster: RelayCluster,
+) -> None:
+    for name in ENGINES:
+        runner = cluster.runners[name]
+        runner.events = 8
+        runner.faults.stall_after_events = EVENTS_BEFORE_SILENCE
+        runner.faults.phase_change_s = 2.5
+    response = await begin_stream(cluster)
+    for name in ENGINES:
+        cluster.runners[name].faults.stall_after_events = None
+        cluster.runners[name].begin_phase_change("decode")
+    assert await events_of(response) == expected_stream(8)
+
+
 async def test_broken_stream_waits_for_a_slot_for_as_long_as_its_client_does(
     cluster: RelayCluster,
 ) -> None:
--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -151,9 +151,8 @@
         if request.software is None:
             return
         service, now = request.service.name, loop_time()
-        excluded = self._selector.excluded(request)
-        if not self._selector.engines(
-            service, Phase.DECODE, now, excluded, request.software
+        if not self._selector.has_engine_of(
+            request, Phase.DECODE, now
         ) and not self._selector.pause_left_s(
             service, now, Phase.DECODE, request.software
         ):
--- a/wasabimux/relay/placing.py
+++ b/wasabimux/relay/placing.py
@@ -196,6 +196,18 @@
         healthy = [item for item in candidates if not self._is_avoided_by_peers(item)]
         return healthy or candidates
 
+    def has_engine_of(self, request: RelayRequest, phase: Phase, now: float) -> bool:
+        """Returns whether an engine may take a stream of one software version.
+
+        It may be full or changing its phase now.
+        """
+
+        def suits(item: Upstream) -> bool:
+            return item.phase is phase and item.record.software == request.software
+
+        excluded = self.excluded(request)
+        return bool(self.usable(request.service.name, now, excluded, suits))
+
     def is_changing_phase(self, engine: Upstream, now: float) -> bool:
         """Returns whether this relay or a peer knows that an engine is changing."""
         peers_know = self.peer_load(engine.id).changing_phase
