Let only streams without an engine wait for a slot until their time limit

Read again: a stream whose engine is silent would have waited in the queue for as long, and each counts for the expected wait by which new streams are refused. It still has its engine, so its wait ends as before.

--- a/wasabimux/relay/generation.py
+++ b/wasabimux/relay/generation.py
@@ -106,7 +106,7 @@
         Raises:
             RefusedError: The request was refused or failed before its first event.
         """
-        prepare = partial(self._prepare_slot, request)
+        prepare = partial(self._prepare_slot, request, as_standby=True)
         standby = StandbySlot(request, prepare, self._release, self._recorder)
         request.standby = standby
         async with request.deadline_scope():
@@ -206,15 +206,21 @@
             self._release(slot)
             self._recorder.record(request, "slot_given_up", slot.upstream)
 
-    async def _prepare_slot(self, request: RelayRequest) -> ReadySlot:
+    async def _prepare_slot(
+        self, request: RelayRequest, as_standby: bool = False
+    ) -> ReadySlot:
         """Reserves a slot, and prefills the prompt if needed.
 
+        Args:
+            request: Request of the stream.
+            as_standby: True if the stream has an engine that may still go on.
+
         Raises:
             RefusedError: There is no slot, or the request may not be sent.
         """
         self._quarantine.check(request)
         self._check_version(request)
-        slot = await self._slot_scheduler.acquire(request)
+        slot = await self._slot_scheduler.acquire(request, as_standby)
         try:
             self._quarantine.check(request)
             kv_source = request.kv_source(loop_time())
--- a/wasabimux/relay/slots.py
+++ b/wasabimux/relay/slots.py
@@ -163,21 +163,28 @@
         """Triggers a check of the queue after a change of the fleet's state or load."""
         self._wake.set()
 
-    async def acquire(self, request: RelayRequest) -> DecodeSlot:
+    async def acquire(
+        self, request: RelayRequest, as_standby: bool = False
+    ) -> DecodeSlot:
         """Waits for a slot at an engine that the next attempt may go to.
 
+        A stream that has begun and has no engine can only be cut, so it waits until its
+        time limit; its client ends it before.
+
         Args:
             request: Request of the stream.
+            as_standby: True if the stream has an engine that may still go on.
 
         Raises:
             RefusedError: No slot became free in time, or none is expected to.
         """
         now = loop_time()
-        since_s = request.arrived_s
+        # a client that has events already waits for the next one
+        since_s = now if request.response_started else request.arrived_s
         max_wait_s = MAX_WAIT_FRACTION * request.route.client_idle_timeout_s
         until_s = min(since_s + max_wait_s, request.deadline_s)
-        if request.response_started:  # it can only be cut; its client tells when to end
-            since_s, until_s = now, request.deadline_s
+        if request.response_started and not as_standby:
+            until_s = request.deadline_s
         refusal = self._pause_refusal(request, until_s, now)
         if refusal is not None:
             raise refusal
