--- a/tests/test_refusing_engines.py
+++ b/tests/test_refusing_engines.py
@@ -8,6 +8,14 @@
 import pytest
 import pytest_asyncio
 
+from tests.engine_streams import (
+    ENGINES,
+    begin_stream,
+    engine_of,
+    events_of,
+    expected_stream,
+    other_engines,
+)
 from tests.relay_fixtures import RelayCluster, relay_cluster
 from wasabimux._clock import loop_time
 from wasabimux.adapters.http_client import ClientResponse
@@ -18,12 +26,13 @@
 from wasabimux.relay.phases import ANNOUNCE_DELAY_S, COOLDOWN_S
 from wasabimux.relay.relay import Relay
 
-TOKEN_COUNTS = "100,60"
-ENGINES = ("dec-1", "dec-2", "dec-3")
-
 #: Time in s that the desired state of these tests gives a change of phase.
 PLANNED_CHANGE_S = 1.0
 
+#: Events of streams that run while a test acts, and of others.
+LONG_STREAM = 60
+SHORT_STREAM = 8
+
 EVENTS_BEFORE_SILENCE = 3
 
 #: Longest time in s for which a test waits.
@@ -44,45 +53,31 @@
             await asyncio.sleep(0.01)
 
 
-def expected_stream(events: int) -> bytes:
-    """Returns the events of a whole stream."""
-    return b"".join(
-        f"id: {number}\ndata: token-{number}\n\n".encode()
-        for number in range(1, events + 1)
-    )
-
-
-async def begin_stream(cluster: RelayCluster, request_id: str = "r1") -> ClientResponse:
-    """Starts a stream that may go on at another engine."""
-    return await cluster.request(
-        "/gen/1", request_id, wasabimux_token_count=TOKEN_COUNTS
-    )
-
-
-async def events_of(response: ClientResponse) -> bytes:
-    """Returns the events of a stream, without the comments between them."""
-    async with response:
-        blocks = (await response.body()).split(b"\n\n")
-    return b"".join(block + b"\n\n" for block in blocks if block.startswith(b"id"))
-
-
-def others(cluster: RelayCluster, engine: StandInRunner) -> list[StandInRunner]:
-    """Returns the decode engines but one."""
-    runners = [cluster.runners[name] for name in ENGINES]
-    return [runner for runner in runners if runner is not engine]
-
-
-def engine_of(cluster: RelayCluster) -> StandInRunner:
-    """Returns the engine that runs the stream."""
-    return next(item for item in cluster.runners.values() if item.runs)
-
-
 def usable_engines(relay: Relay) -> set[str]:
     """Returns the engines that a relay takes for ready to decode."""
     found = relay.selector.engines("engines", Phase.DECODE, loop_time(), [])
     return {item.id for item in found}
 
 
+async def begin_silent_stream(
+    cluster: RelayCluster,
+) -> tuple[ClientResponse, StandInRunner]:
+    """Starts a stream whose engine falls silent, while the other engines refuse.
+
+    Returns:
+        The response, and the engine, which goes on with the stream if it gets it again.
+    """
+    for name in ENGINES:
+        cluster.runners[name].events = SHORT_STREAM
+        cluster.runners[name].faults.stall_after_events = EVENTS_BEFORE_SILENCE
+    response = await begin_stream(cluster)
+    engine = engine_of(cluster)
+    for other in other_engines(cluster, engine):
+        other.faults.refuse_requests = True
+    engine.faults.stall_after_events = None
+    return response, engine
+
+
 async def order_to_prefill(relay: Relay, name: str) -> None:
     """Lets a relay change the phase of an engine."""
     desired = relay.view.desired_state
@@ -148,15 +143,15 @@
     cluster: RelayCluster, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     for name in ENGINES:
-        cluster.runners[name].events = 60
+        cluster.runners[name].events = LONG_STREAM
     response = await begin_stream(cluster)
     source = engine_of(cluster)
-    for engine in others(cluster, source):
+    for engine in other_engines(cluster, source):
         engine.faults.refuse_requests = True
     monkeypatch.setattr(stream_migration, "MIGRATION_FILL_FRACTION", 0.0)
     await wait_until(lambda: len(source.runs) > 1)
     monkeypatch.undo()
-    assert await events_of(response) == expected_stream(60)
+    assert await events_of(response) == expected_stream(LONG_STREAM)
     again = source.runs[1].headers
     kept = again[b"wasabimux-kv-source"].decode()
     assert kept.startswith(f"{source.address}/handle-")
@@ -166,7 +161,7 @@
     cluster: RelayCluster, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     for name in ENGINES:
-        cluster.runners[name].events = 60
+        cluster.runners[name].events = LONG_STREAM
     response = await begin_stream(cluster)
     source = engine_of(cluster)
     for name in ENGINES:
@@ -177,39 +172,23 @@
     await asyncio.sleep(0.5)
     for name in ENGINES:
         cluster.runners[name].faults.refuse_requests = False
-    assert await events_of(response) == expected_stream(60)
+    assert await events_of(response) == expected_stream(LONG_STREAM)
 
 
 async def test_stream_that_left_a_silent_engine_is_not_cut_as_the_next_one_refuses_it(
     cluster: RelayCluster,
 ) -> None:
-    for name in ENGINES:
-        runner = cluster.runners[name]
-        runner.events = 8
-        runner.faults.stall_after_events = EVENTS_BEFORE_SILENCE
-    response = await begin_stream(cluster)
-    source = engine_of(cluster)
-    for engine in others(cluster, source):
-        engine.faults.refuse_requests = True
-    source.faults.stall_after_events = None  # of streams that begin from now on
-    assert await events_of(response) == expected_stream(8)
+    response, _ = await begin_silent_stream(cluster)
+    assert await events_of(response) == expected_stream(SHORT_STREAM)
 
 
 async def test_refused_stream_goes_to_no_more_engines_than_its_route_allows(
     cluster: RelayCluster,
 ) -> None:
-    for name in ENGINES:
-        runner = cluster.runners[name]
-        runner.events = 8
-        runner.faults.stall_after_events = EVENTS_BEFORE_SILENCE
-    response = await begin_stream(cluster)
-    source = engine_of(cluster)
-    for engine in others(cluster, source):
-        engine.faults.refuse_requests = True
-    source.faults.stall_after_events = None  # of streams that begin from now on
+    response, source = await begin_silent_stream(cluster)
     await events_of(response)
     relay = cluster.relays[0].relay
-    refused_by = [item for item in others(cluster, source) if item.refused]
+    refused_by = [item for item in other_engines(cluster, source) if item.refused]
     assert len(refused_by) == 1
     assert relay.slots.waiting == 0
 
@@ -219,26 +198,26 @@
 ) -> None:
     for name in ENGINES:
         runner = cluster.runners[name]
-        runner.events = 8
+        runner.events = SHORT_STREAM
         runner.faults.stall_after_events = EVENTS_BEFORE_SILENCE
         runner.faults.phase_change_s = 2.5
     response = await begin_stream(cluster)
     for name in ENGINES:
         cluster.runners[name].faults.stall_after_events = None
         cluster.runners[name].begin_phase_change("decode")
-    assert await events_of(response) == expected_stream(8)
+    assert await events_of(response) == expected_stream(SHORT_STREAM)
 
 
 async def test_broken_stream_waits_for_a_slot_for_as_long_as_its_client_does(
     cluster: RelayCluster,
 ) -> None:
     for name in ENGINES:
-        cluster.runners[name].events = 60
+        cluster.runners[name].events = LONG_STREAM
     response = await begin_stream(cluster)
-    for engine in others(cluster, engine_of(cluster)):
+    for engine in other_engines(cluster, engine_of(cluster)):
         engine.faults.refuse_reservations = True
     engine_of(cluster).crash()
     await asyncio.sleep(5.0)
     for name in ENGINES:
         cluster.runners[name].faults.refuse_reservations = False
-    assert await events_of(response) == expected_stream(60)
+    assert await events_of(response) == expected_stream(LONG_STREAM)
--- a/tests/test_relay_path.py
+++ b/tests/test_relay_path.py
@@ -10,6 +10,7 @@
 import pytest
 import pytest_asyncio
 
+from tests.engine_streams import expected_stream
 from tests.relay_fixtures import API_KEY, RelayCluster, desired_state, relay_cluster
 from wasabimux._clock import loop_time
 from wasabimux.adapters.http_client import ClientConnection, HttpClient
@@ -53,14 +54,6 @@
         yield running
 
 
-def expected_stream(events: int = 5) -> bytes:
-    """Returns the body of a complete stream of a simulated engine."""
-    return b"".join(
-        f"id: {number}\ndata: token-{number}\n\n".encode()
-        for number in range(1, events + 1)
-    )
-
-
 def aggregator_counts(cluster: RelayCluster, store_reachable: bool = False) -> set[int]:
     """Returns the numbers of aggregators that the relays hear."""
     now = loop_time()
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -8,15 +8,17 @@
 import pytest
 import pytest_asyncio
 
+from tests.engine_streams import (
+    ENGINES,
+    begin_stream,
+    engine_of,
+    events_of,
+    expected_stream,
+)
 from tests.relay_fixtures import RelayCluster, relay_cluster
-from wasabimux.adapters.http_client import ClientResponse
 from wasabimux.decisions import stream_migration
-from wasabimux.platform.standins.runner import StandInRunner
 from wasabimux.relay.stream_retries import STALL_TIMEOUT_S
 
-TOKEN_COUNTS = "100,60"
-ENGINES = ("dec-1", "dec-2", "dec-3")
-
 EVENTS = 8
 EVENTS_BEFORE_SILENCE = 3
 
@@ -36,31 +38,6 @@
         yield running
 
 
-def expected_stream() -> bytes:
-    """Returns the events of a whole stream."""
-    return b"".join(
-        f"id: {number}\ndata: token-{number}\n\n".encode()
-        for number in range(1, EVENTS + 1)
-    )
-
-
-async def begin_stream(cluster: RelayCluster) -> ClientResponse:
-    """Starts a stream that may go on at another engine."""
-    return await cluster.request("/gen/1", wasabimux_token_count=TOKEN_COUNTS)
-
-
-async def events_of(response: ClientResponse) -> bytes:
-    """Returns the events of a stream, without the comments between them."""
-    async with response:
-        blocks = (await response.body()).split(b"\n\n")
-    return b"".join(block + b"\n\n" for block in blocks if block.startswith(b"id"))
-
-
-def engine_of(cluster: RelayCluster) -> StandInRunner:
-    """Returns the engine that runs the stream."""
-    return next(item for item in cluster.runners.values() if item.runs)
-
-
 def refuse_reservations(cluster: RelayCluster, refuse: bool = True) -> None:
     """Makes all engines refuse slots, or grant them again."""
     for name in ENGINES:
@@ -78,7 +55,7 @@
 ) -> None:
     response = await begin_stream(cluster)
     refuse_reservations(cluster)
-    assert await events_of(response) == expected_stream()
+    assert await events_of(response) == expected_stream(EVENTS)
     assert len([run for item in cluster.runners.values() for run in item.runs]) == 1
 
 
@@ -93,7 +70,7 @@
         lambda: any(cluster.runners[name].runs for name in ENGINES)
     )
     refuse_reservations(cluster)
-    assert await events_of(await beginning) == expected_stream()
+    assert await events_of(await beginning) == expected_stream(EVENTS)
 
 
 async def test_silent_stream_goes_on_elsewhere_once_there_is_a_slot(
@@ -106,7 +83,7 @@
     refuse_reservations(cluster)
     await asyncio.sleep(STALL_TIMEOUT_S + 0.5)
     refuse_reservations(cluster, refuse=False)
-    assert await events_of(response) == expected_stream()
+    assert await events_of(response) == expected_stream(EVENTS)
 
 
 async def test_slot_elsewhere_is_freed_as_the_silent_engine_goes_on(
@@ -116,7 +93,7 @@
         cluster.runners[name].faults.stall_s = STALL_TIMEOUT_S + 0.5
     response = await begin_stream(cluster)
     refuse_reservations(cluster)
-    assert await events_of(response) == expected_stream()
+    assert await events_of(response) == expected_stream(EVENTS)
     relay = cluster.relays[0].relay
     refuse_reservations(cluster, refuse=False)
     await cluster.wait_until(
@@ -135,7 +112,7 @@
     grants = iter([True])
     response = await begin_stream(cluster)
     monkeypatch.setattr(window, "try_spend", lambda now: next(grants, False))
-    assert await events_of(response) == expected_stream()
+    assert await events_of(response) == expected_stream(EVENTS)
     assert len([run for item in cluster.runners.values() for run in item.runs]) == 1
 
 
@@ -151,7 +128,7 @@
     await asyncio.sleep(0.1)
     assert cluster.relays[0].relay.slots.waiting == 1
     refuse_reservations(cluster, refuse=False)
-    assert await events_of(response) == expected_stream()
+    assert await events_of(response) == expected_stream(EVENTS)
 
 
 async def test_client_that_leaves_a_silent_stream_frees_all_slots(
