--- a/tests/test_refusing_engines.py
+++ b/tests/test_refusing_engines.py
@@ -119,8 +119,9 @@
     relay, engine = cluster.relays[0].relay, cluster.runners["dec-1"]
     engine.faults.phase_change_s = 60.0
     engine.begin_phase_change("prefill")
-    while engine.refused < 2:
-        await events_of(await begin_stream(cluster))
+    async with asyncio.timeout(TEST_TIMEOUT_S):
+        while engine.refused < 2:
+            await events_of(await begin_stream(cluster))
     await wait_until(lambda: "dec-1" not in usable_engines(relay))
     for _ in range(60):
         assert usable_engines(relay) == {"dec-2", "dec-3"}
