--- a/tests/test_refusing_engines.py
+++ b/tests/test_refusing_engines.py
@@ -78,6 +78,14 @@
     return response, engine
 
 
+def begin_long_change(cluster: RelayCluster) -> StandInRunner:
+    """Lets an engine change its phase for a minute; returns the engine, `dec-1`."""
+    engine = cluster.runners["dec-1"]
+    engine.faults.phase_change_s = 60.0
+    engine.begin_phase_change("prefill")
+    return engine
+
+
 async def order_to_prefill(relay: Relay, name: str) -> None:
     """Lets a relay change the phase of an engine."""
     desired = relay.view.desired_state
@@ -101,7 +109,7 @@
         await asyncio.sleep(0.05)
 
 
-async def test_engine_gets_streams_again_after_an_order_that_it_did_not_carry_out(
+async def test_engine_gets_streams_again_once_its_report_shows_no_order(
     cluster: RelayCluster,
 ) -> None:
     relay, engine = cluster.relays[0].relay, cluster.runners["dec-1"]
@@ -116,9 +124,7 @@
     cluster: RelayCluster,
 ) -> None:
     """The relay that gave the order has ended, and its mark of the change with it."""
-    relay, engine = cluster.relays[0].relay, cluster.runners["dec-1"]
-    engine.faults.phase_change_s = 60.0
-    engine.begin_phase_change("prefill")
+    relay, engine = cluster.relays[0].relay, begin_long_change(cluster)
     async with asyncio.timeout(TEST_TIMEOUT_S):
         while engine.refused < 2:
             await events_of(await begin_stream(cluster))
@@ -132,9 +138,7 @@
 async def test_engine_found_busy_with_an_order_is_not_put_back_into_use(
     cluster: RelayCluster,
 ) -> None:
-    relay, engine = cluster.relays[0].relay, cluster.runners["dec-1"]
-    engine.faults.phase_change_s = 60.0
-    engine.begin_phase_change("prefill")
+    relay, engine = cluster.relays[0].relay, begin_long_change(cluster)
     await order_to_prefill(relay, "dec-1")
     assert not engine.state.phase_change_commands
     assert usable_engines(relay) == {"dec-2", "dec-3"}
